--- /dev/null
+++ b/lib/cataloguer/snapshot.go
@@ -0,0 +1,83 @@
+package cataloguer
+
+import (
+	"slices"
+	"time"
+)
+
+// Snapshot is one state of a service's index and the leaves that hold it.
+type Snapshot struct {
+	Number uint64
+	// Shards is the number of shards that exist in the snapshot.
+	Shards uint32
+	// Holders lists the live leaves of each shard.
+	Holders [][]*Leaf
+}
+
+// Held returns the number of shards with at least one live holder.
+func (s *Snapshot) Held() int {
+	n := 0
+	for _, h := range s.Holders {
+		if len(h) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Complete reports whether each shard has a live holder.
+func (s *Snapshot) Complete() bool {
+	return s.Held() == int(s.Shards)
+}
+
+// Snapshots returns the snapshots of a service that live leaves hold, the newest first.
+func (t *Table) Snapshots(service string, now time.Time) []*Snapshot {
+	byNumber := make(map[uint64]*Snapshot)
+	for _, l := range t.Leaves(service, now) {
+		for _, h := range l.Holdings {
+			add(byNumber, l, h)
+		}
+	}
+	out := make([]*Snapshot, 0, len(byNumber))
+	for _, s := range byNumber {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b *Snapshot) int {
+		if a.Number > b.Number {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// add ignores a holding whose number of shards differs from that of the first leaf seen: the two cannot be one snapshot.
+func add(byNumber map[uint64]*Snapshot, l *Leaf, h Holding) {
+	s, ok := byNumber[h.Snapshot]
+	if !ok {
+		s = &Snapshot{Number: h.Snapshot, Shards: h.Shards, Holders: make([][]*Leaf, h.Shards)}
+		byNumber[h.Snapshot] = s
+	}
+	if h.Shards != s.Shards || h.Shard >= s.Shards {
+		return
+	}
+	s.Holders[h.Shard] = append(s.Holders[h.Shard], l)
+}
+
+// Pin chooses the newest complete snapshot above a number, else the one with most shards held.
+// It returns nil when no leaf is live.
+func (t *Table) Pin(service string, above uint64, now time.Time) *Snapshot {
+	var best *Snapshot
+	for _, s := range t.Snapshots(service, now) {
+		if s.Number <= above {
+			continue
+		}
+		if s.Complete() {
+			return s
+		}
+		if best == nil || s.Held() > best.Held() {
+			best = s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/lib/cataloguer/table.go
@@ -0,0 +1,134 @@
+// Package cataloguer keeps which leaf holds which shard of which snapshot, as soft state with leases.
+package cataloguer
+
+import (
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State of a backend server, as it announces it.
+type State int
+
+// States of a backend server.
+const (
+	Cold State = iota + 1
+	Warm
+	Draining
+	Leaving
+)
+
+// Lease is the time for which an announcement holds.
+const Lease = 2 * time.Second
+
+// Interval is the time between two announcements of a backend server.
+const Interval = 500 * time.Millisecond
+
+// Holding is one shard of one snapshot that a leaf can answer from.
+type Holding struct {
+	Snapshot uint64
+	Shard    uint32
+	// Shards is the number of shards of the snapshot.
+	Shards uint32
+}
+
+// Leaf is a backend server as last announced.
+type Leaf struct {
+	Name        string
+	Incarnation uint64
+	Sequence    uint64
+	Address     netip.AddrPort
+	Center      string
+	Service     string
+	State       State
+	Slots       int
+	Connections int
+	Holdings    []Holding
+	// Heard is when the announcement was received.
+	Heard time.Time
+}
+
+// Live reports whether the leaf may receive new work.
+func (l *Leaf) Live(now time.Time) bool {
+	return l.State <= Warm && now.Sub(l.Heard) < Lease
+}
+
+// shardCount divides the table by service, so that lookups of different services do not share a lock.
+const shardCount = 16
+
+// Table holds leaves by service. It is safe for concurrent use.
+type Table struct {
+	shards [shardCount]shard
+	since  time.Time
+}
+
+type shard struct {
+	sync.RWMutex
+	services map[string]map[string]*Leaf
+}
+
+// New returns an empty table that started at now.
+func New(now time.Time) *Table {
+	t := &Table{since: now}
+	for i := range t.shards {
+		t.shards[i].services = make(map[string]map[string]*Leaf)
+	}
+	return t
+}
+
+// Starting reports whether the table is too young to know every leaf: less than one lease has passed.
+func (t *Table) Starting(now time.Time) bool {
+	return now.Sub(t.since) < Lease
+}
+
+func (t *Table) shard(service string) *shard {
+	return &t.shards[xxhash.Sum64String(service)%shardCount]
+}
+
+// Put stores an announcement unless a newer one of the same leaf is known. It reports whether it was stored.
+func (t *Table) Put(leaf *Leaf) bool {
+	s := t.shard(leaf.Service)
+	s.Lock()
+	defer s.Unlock()
+	leaves, ok := s.services[leaf.Service]
+	if !ok {
+		leaves = make(map[string]*Leaf)
+		s.services[leaf.Service] = leaves
+	}
+	old, ok := leaves[leaf.Name]
+	if ok && !newer(leaf, old) {
+		return false
+	}
+	leaves[leaf.Name] = leaf
+	return true
+}
+
+func newer(a, b *Leaf) bool {
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
+	}
+	return a.Sequence > b.Sequence
+}
+
+// Leaves returns the leaves of a service that may receive work, sorted by name.
+func (t *Table) Leaves(service string, now time.Time) []*Leaf {
+	s := t.shard(service)
+	s.RLock()
+	defer s.RUnlock()
+	var out []*Leaf
+	for _, l := range s.services[service] {
+		if l.Live(now) {
+			out = append(out, l)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Leaf) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
