Answer a query end to end through separate processes

Cause: everything else refines a path that runs. Change: entryd, controld (one host, in memory), leafd, loader, lycheelift ask, patch and show, make demo. Taking a data centre out is accepted but not yet acted on.

--- /dev/null
+++ b/demo/runner/deployment.go
@@ -0,0 +1,162 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/samber/oops"
+)
+
+// Size of the demo's deployment.
+const (
+	centerCount = 3
+	hostsEach   = 3
+	controls    = 3
+	shards      = 3
+)
+
+// host is one entry host of the deployment.
+type host struct {
+	name, center, callers, peers string
+}
+
+// deployment is the set of processes of the demo.
+type deployment struct {
+	binaries  string
+	folder    string
+	hosts     []host
+	operators []string
+	processes []*process
+}
+
+func centerName(i int) string { return fmt.Sprintf("center-%d", i+1) }
+
+// launch starts control hosts, entry hosts and stand-in backend servers.
+func launch(ctx context.Context, binaries, folder string) (*deployment, error) {
+	d := &deployment{binaries: binaries, folder: folder}
+	free, err := ports(2*controls + 2*centerCount*hostsEach)
+	if err != nil {
+		return nil, err
+	}
+	next := func() string {
+		out := free[0]
+		free = free[1:]
+		return out
+	}
+	if err := d.launchControl(next); err != nil {
+		return d, err
+	}
+	if err := d.launchEntries(next); err != nil {
+		return d, err
+	}
+	for _, h := range d.hosts {
+		if err := await(ctx, h.callers); err != nil {
+			return d, err
+		}
+	}
+	return d, d.launchLeaves()
+}
+
+func (d *deployment) start(name, program string, args ...string) error {
+	p, err := start(d.binaries, d.folder, name, program, args...)
+	if err == nil {
+		d.processes = append(d.processes, p)
+	}
+	return err
+}
+
+func (d *deployment) launchControl(next func() string) error {
+	var peers, members []string
+	for i := range controls {
+		d.operators = append(d.operators, next())
+		peers = append(peers, next())
+		members = append(members, fmt.Sprintf("[[members]]\nname = \"control-%d\"\naddress = %q\n", i+1, peers[i]))
+	}
+	for i := range controls {
+		name := fmt.Sprintf("control-%d", i+1)
+		text := fmt.Sprintf("name = %q\ndata = %q\n[listen]\noperators = %q\npeers = %q\n[tls]\noff = true\n%s",
+			name, filepath.Join(d.folder, name), d.operators[i], peers[i], strings.Join(members, ""))
+		path := filepath.Join(d.folder, name+".toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			return oops.Wrap(err)
+		}
+		if err := d.start(name, "controld", "--settings", path); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(filepath.Join(d.folder, "control.json"), mustJSON(peers), 0o600)
+}
+
+func (d *deployment) launchEntries(next func() string) error {
+	control, err := os.ReadFile(filepath.Join(d.folder, "control.json"))
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	for i := range centerCount * hostsEach {
+		d.hosts = append(d.hosts, host{
+			name: fmt.Sprintf("entry-%d", i+1), center: centerName(i / hostsEach), callers: next(), peers: next(),
+		})
+	}
+	for _, h := range d.hosts {
+		text := fmt.Sprintf("name = %q\ncenter = %q\ncontrol = %s\ngrace = \"200ms\"\n[listen]\ncallers = %q\npeers = %q\n[tls]\noff = true\n",
+			h.name, h.center, control, h.callers, h.peers)
+		path := filepath.Join(d.folder, h.name+".toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil { //nolint:gosec // The folder is the demo's own.
+			return oops.Wrap(err)
+		}
+		if err := d.start(h.name, "entryd", "--settings", path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// launchLeaves starts one process of stand-ins per data centre, so that each announces to its own hosts.
+func (d *deployment) launchLeaves() error {
+	var entries, centers []string
+	for i := range centerCount {
+		centers = append(centers, centerName(i))
+	}
+	for _, h := range d.hosts {
+		entries = append(entries, h.callers)
+	}
+	return d.start("leaves", "leafd", "--service", "desk", "--shards", fmt.Sprint(shards), "--replicas", fmt.Sprint(centerCount),
+		"--centers", strings.Join(centers, ","), "--entries", strings.Join(entries, ","), "--slots", "2", "--connections", "25")
+}
+
+// document returns the first configuration patch.
+func (d *deployment) document() []byte {
+	centers := map[string]any{}
+	hosts := map[string]any{}
+	for i := range centerCount {
+		centers[centerName(i)] = map[string]any{"region": "north"}
+	}
+	for _, h := range d.hosts {
+		hosts[h.name] = map[string]any{"center": h.center, "address": h.peers}
+	}
+	return mustJSON(map[string]any{"centers": centers, "hosts": hosts, "services": map[string]any{"desk": map[string]any{}}})
+}
+
+// stop stops every process, entry hosts before control hosts, and returns the first error.
+func (d *deployment) stop() error {
+	var first error
+	for i := len(d.processes) - 1; i >= 0; i-- {
+		if err := d.processes[i].stop(); err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// mustJSON encodes values that cannot fail to encode.
+func mustJSON(v any) []byte {
+	out, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
--- /dev/null
+++ b/demo/runner/process.go
@@ -0,0 +1,108 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// process is one program that the demo started.
+type process struct {
+	name    string
+	command *exec.Cmd
+}
+
+// start runs a program with its output in a log file.
+func start(binaries, folder, name, program string, args ...string) (*process, error) {
+	log, err := os.Create(filepath.Join(folder, name+".log"))
+	if err != nil {
+		return nil, oops.Wrap(err)
+	}
+	command := exec.CommandContext(context.Background(), filepath.Join(binaries, program), args...) //nolint:gosec // The programs are this project's own.
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return nil, oops.Wrapf(err, "start %s", name)
+	}
+	return &process{name: name, command: command}, nil
+}
+
+// stop asks the process to stop gracefully and waits for it; it is killed after a while.
+func (p *process) stop() error {
+	const patience = 15 * time.Second
+	_ = p.command.Process.Signal(syscall.SIGTERM)
+	done := make(chan error, 1)
+	go func() { done <- p.command.Wait() }()
+	select {
+	case err := <-done:
+		return oops.Wrapf(err, "%s", p.name)
+	case <-time.After(patience):
+		_ = p.command.Process.Kill()
+		return oops.Errorf("%s did not stop in %s", p.name, patience)
+	}
+}
+
+// ports reserves free loopback addresses by listening on each of them for a moment.
+func ports(n int) ([]string, error) {
+	listeners := make([]net.Listener, 0, n)
+	out := make([]string, 0, n)
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, oops.Wrap(err)
+		}
+		listeners = append(listeners, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// await asks a host until it is ready.
+func await(ctx context.Context, address string) error {
+	const interval = 50 * time.Millisecond
+	const patience = 15 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ready", nil)
+		if err != nil {
+			return oops.Wrap(err)
+		}
+		if response, err := http.DefaultClient.Do(request); err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return oops.Errorf("%s is not ready after %s", address, patience)
+		case <-time.After(interval):
+		}
+	}
+}
+
+// run runs a program to its end and shows the command line and its output.
+func run(ctx context.Context, w io.Writer, binaries, program string, args ...string) error {
+	fmt.Fprintf(w, "$ %s", program)
+	for _, a := range args {
+		fmt.Fprintf(w, " %s", a)
+	}
+	fmt.Fprintln(w)
+	command := exec.CommandContext(ctx, filepath.Join(binaries, program), args...) //nolint:gosec // The programs are this project's own.
+	command.Stdout, command.Stderr = w, w
+	return oops.Wrapf(command.Run(), "%s", program)
+}
--- /dev/null
+++ b/demo/runner/runner.go
@@ -0,0 +1,95 @@
+// Package runner starts a small deployment on loopback, drives it and stops it.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"lycheelift.example/loader/driver"
+	"lycheelift.example/loader/reporter"
+)
+
+const (
+	// settle is the time in which a version and the announcements reach every host.
+	settle = 2 * time.Second
+	// rate is the load of the demo, in queries a second.
+	rate = 150
+	// phase is the length of each phase of load.
+	phase = 4 * time.Second
+)
+
+// Run shows the system at work, with the programs in the folder binaries.
+func Run(ctx context.Context, w io.Writer, binaries string) (err error) {
+	folder, err := os.MkdirTemp("", "lycheelift-demo-")
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	d, err := launch(ctx, binaries, folder)
+	defer func() {
+		if stopped := d.stop(); err == nil {
+			err = stopped
+		}
+		if err == nil {
+			err = os.RemoveAll(folder)
+		} else {
+			fmt.Fprintf(w, "logs are kept in %s\n", folder)
+		}
+	}()
+	if err != nil {
+		return err
+	}
+	return d.show(ctx, w)
+}
+
+func (d *deployment) show(ctx context.Context, w io.Writer) error {
+	fmt.Fprintf(w, "%d entry hosts in %d data centres, %d control hosts, %d shards of service desk\n", len(d.hosts), centerCount, controls, shards)
+	if err := d.patch(ctx, w, 1, d.document(), "first configuration"); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	for _, question := range []string{"name=Lotca", "name=Sirena", "tag=4711"} {
+		if err := run(ctx, w, d.binaries, "lycheelift", "ask", "desk", question, "--least", "1", "--entry", d.hosts[0].callers); err != nil {
+			return err
+		}
+	}
+	results := []*driver.Result{d.load(ctx, "before")}
+	for version, out := range []bool{true, false} {
+		body := mustJSON(map[string]any{"centers": map[string]any{centerName(1): map[string]any{"out": out}}})
+		if err := d.patch(ctx, w, version+2, body, fmt.Sprintf("%s out: %t", centerName(1), out)); err != nil {
+			return err
+		}
+		results = append(results, d.load(ctx, fmt.Sprintf("%s out=%t", centerName(1), out)))
+	}
+	reporter.Table(w, results)
+	return nil
+}
+
+func (d *deployment) patch(ctx context.Context, w io.Writer, base int, body []byte, reason string) error {
+	path := filepath.Join(d.folder, fmt.Sprintf("patch-%d.json", base))
+	if err := os.WriteFile(path, body, 0o600); err != nil {
+		return oops.Wrap(err)
+	}
+	return run(ctx, w, d.binaries, "lycheelift", "patch", path, "--base", fmt.Sprint(base), "--author", "demo", "--reason", reason,
+		"--control", strings.Join(d.operators, ","))
+}
+
+// load drives the hosts of the data centres that stay in, as the platform's balancer does.
+func (d *deployment) load(ctx context.Context, name string) *driver.Result {
+	var entries []string
+	for _, h := range d.hosts {
+		if h.center != centerName(1) {
+			entries = append(entries, h.callers)
+		}
+	}
+	return driver.New().Run(ctx, driver.Load{
+		Name: name, Service: "desk", Body: "name=Lotca", Distinct: 1, Entries: entries,
+		Rate: rate, Duration: phase, Deadline: time.Second,
+	})
+}
--- /dev/null
+++ b/entryd/dispatcher/stream.go
@@ -0,0 +1,161 @@
+package dispatcher
+
+import (
+	"context"
+	"sync"
+
+	"google.golang.org/grpc"
+
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+const (
+	// queueLength bounds the calls that wait for the stream's writer.
+	queueLength = 8192
+	// batchLength bounds the calls in one message.
+	batchLength = 256
+)
+
+// stream is the long-lived connection to one owner.
+type stream struct {
+	host string
+	out  chan item
+	done chan struct{}
+	conn *grpc.ClientConn
+
+	mu      sync.Mutex
+	pending map[string]chan<- *peerv1.CallResult
+	closed  bool
+}
+
+// item is a call to send or the identity of an attempt to cancel.
+type item struct {
+	call   *peerv1.Call
+	cancel string
+}
+
+func newStream(host string, conn *grpc.ClientConn) *stream {
+	return &stream{
+		host: host, conn: conn, out: make(chan item, queueLength), done: make(chan struct{}),
+		pending: make(map[string]chan<- *peerv1.CallResult),
+	}
+}
+
+// run opens the gRPC stream and serves it until it breaks.
+func (s *stream) run(ctx context.Context, mismatch func(*peerv1.CallResult)) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer s.close()
+	channel, err := peerv1.NewPeerServiceClient(s.conn).Channel(ctx)
+	if err != nil {
+		return
+	}
+	go func() {
+		defer stop()
+		s.write(ctx, channel)
+	}()
+	for {
+		message, err := channel.Recv()
+		if err != nil {
+			return
+		}
+		for _, r := range message.GetResults() {
+			if !s.deliver(r) {
+				mismatch(r)
+			}
+		}
+	}
+}
+
+// write sends what has queued up in as few messages as possible.
+func (s *stream) write(ctx context.Context, channel grpc.BidiStreamingClient[peerv1.ChannelRequest, peerv1.ChannelResponse]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-s.out:
+			if err := channel.Send(s.batch(first)); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func (s *stream) batch(first item) *peerv1.ChannelRequest {
+	message := &peerv1.ChannelRequest{}
+	next := first
+	for {
+		if next.call != nil {
+			message.Calls = append(message.Calls, next.call)
+		} else {
+			message.Cancels = append(message.Cancels, next.cancel)
+		}
+		if len(message.GetCalls())+len(message.GetCancels()) >= batchLength {
+			return message
+		}
+		select {
+		case next = <-s.out:
+		default:
+			return message
+		}
+	}
+}
+
+// send registers and queues a call. It reports false when the stream is closed or its queue is full;
+// the call was then not sent.
+func (s *stream) send(call *peerv1.Call, results chan<- *peerv1.CallResult) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	select {
+	case s.out <- item{call: call}:
+		s.pending[call.GetAttempt()] = results
+		return true
+	default:
+		return false
+	}
+}
+
+// cancel forgets an attempt and tells the owner, if there is room; cancelling only saves work.
+func (s *stream) cancel(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.pending[attempt]; !ok || s.closed {
+		return
+	}
+	delete(s.pending, attempt)
+	select {
+	case s.out <- item{cancel: attempt}:
+	default:
+	}
+}
+
+// deliver hands a result to the call that waits for it. It reports false when none does.
+func (s *stream) deliver(r *peerv1.CallResult) bool {
+	s.mu.Lock()
+	results, ok := s.pending[r.GetAttempt()]
+	delete(s.pending, r.GetAttempt())
+	s.mu.Unlock()
+	if ok {
+		results <- r
+	}
+	return ok
+}
+
+// close fails every pending call: the owner may have run it.
+func (s *stream) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	close(s.done)
+	for attempt, results := range s.pending {
+		results <- &peerv1.CallResult{Attempt: attempt, Reason: callerv1.Reason_REASON_CONNECTION_LOST}
+	}
+	s.pending = nil
+}
--- /dev/null
+++ b/leafd/leaf/leaf.go
@@ -0,0 +1,211 @@
+// Package leaf is a stand-in backend server: it announces itself, has slots, a cold start and index snapshots,
+// and can be told to misbehave.
+package leaf
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+
+	"lycheelift.example/lib/transporter"
+	backendv1 "lycheelift.example/schema/gen/lycheelift/backend/v1"
+	"lycheelift.example/schema/gen/lycheelift/backend/v1/backendv1connect"
+)
+
+// Behaviour is what an operator of the stand-in can change while it runs.
+type Behaviour struct {
+	// Latency is the usual time of a call.
+	Latency time.Duration `json:"latency"`
+	// Slow is the part of calls that take Factor times as long, 0 to 1.
+	Slow float64 `json:"slow"`
+	// Factor is how many times longer a slow call takes.
+	Factor float64 `json:"factor"`
+	// Bearing is the number of calls at one time that a cold server can bear.
+	Bearing int `json:"bearing"`
+	// Warm is the number of calls after which a cold server is warm.
+	Warm int `json:"warm"`
+	// Silent stops the announcement of coldness: the server says that it is warm.
+	Silent bool `json:"silent"`
+	// Crash is the request body that crashes the server.
+	Crash string `json:"crash"`
+	// Frozen lets calls hang until their deadline.
+	Frozen bool `json:"frozen"`
+	// Mute stops announcements.
+	Mute bool `json:"mute"`
+}
+
+// Record is what the stand-in counted; tests compare it with what the system states.
+type Record struct {
+	Leaf string `json:"leaf"`
+	// Calls is the number of calls received.
+	Calls int64 `json:"calls"`
+	// Ran is the number of calls run to their end.
+	Ran int64 `json:"ran"`
+	// Shed is the number of calls refused for lack of capacity.
+	Shed int64 `json:"shed"`
+	// Excess is the number of calls received above the capacity at that moment.
+	Excess int64 `json:"excess"`
+	// ColdExcess is the part of Excess received while cold.
+	ColdExcess int64 `json:"coldexcess"`
+	// Peak is the largest number of calls at one time.
+	Peak int64 `json:"peak"`
+	// Connections is the number of open connections, Opened the number ever opened, Most the largest number at once.
+	Connections int64 `json:"connections"`
+	Opened      int64 `json:"opened"`
+	Most        int64 `json:"most"`
+	Crashes     int64 `json:"crashes"`
+	// Keys counts the runs of each idempotency key.
+	Keys map[string]int `json:"keys,omitempty"`
+	// Last is when the last call arrived.
+	Last time.Time `json:"last"`
+}
+
+// Config describes a stand-in.
+type Config struct {
+	Name        string
+	Center      string
+	Service     string
+	Slots       int
+	Connections int
+	Holdings    []*backendv1.Holding
+	Address     string
+	Entries     []string
+	Seed        uint64
+	Behaviour   Behaviour
+}
+
+// Leaf is one running stand-in.
+type Leaf struct {
+	config Config
+	client *http.Client
+
+	mu          sync.Mutex
+	behave      Behaviour
+	record      Record
+	random      *rand.Rand
+	state       backendv1.State
+	served      int
+	holdings    []*backendv1.Holding
+	active      int64
+	incarnation uint64
+	sequence    atomic.Uint64
+	server      *http.Server
+	address     string
+}
+
+// New returns a stand-in that is cold until it has served some calls, or warm at once if none are needed.
+func New(c Config) *Leaf {
+	l := &Leaf{
+		config: c, behave: c.Behaviour, random: rand.New(rand.NewPCG(c.Seed, 1)), //nolint:gosec // Reproducible stand-in.
+		client: transporter.Client(transporter.Silence{Idle: time.Second, Answer: time.Second}), holdings: c.Holdings,
+	}
+	l.record.Leaf = c.Name
+	l.record.Keys = make(map[string]int)
+	return l
+}
+
+// Start listens and serves; announcements begin with Announce.
+func (l *Leaf) Start(ctx context.Context, now time.Time) error {
+	address := l.config.Address
+	if l.address != "" {
+		address = l.address
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return oops.In("leaf").Wrapf(err, "listen")
+	}
+	mux := http.NewServeMux()
+	mux.Handle(backendv1connect.NewLeafServiceHandler(l))
+	server := transporter.Server(mux)
+	server.ConnState = l.count
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.address = listener.Addr().String()
+	l.incarnation = uint64(now.UnixNano())
+	l.server = server
+	l.served = 0
+	l.state = backendv1.State_STATE_COLD
+	if l.behave.Warm == 0 {
+		l.state = backendv1.State_STATE_WARM
+	}
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+func (l *Leaf) count(_ net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		l.record.Opened++
+		l.record.Connections++
+		l.record.Most = max(l.record.Most, l.record.Connections)
+	case http.StateClosed, http.StateHijacked:
+		l.record.Connections--
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// Set changes the behaviour.
+func (l *Leaf) Set(f func(*Behaviour)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f(&l.behave)
+}
+
+// Chill makes the server cold again.
+func (l *Leaf) Chill() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = backendv1.State_STATE_COLD
+	l.served = 0
+}
+
+// SetState announces draining, leaving or a return.
+func (l *Leaf) SetState(s backendv1.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state = s
+}
+
+// Hold replaces the holdings, as a new index version does.
+func (l *Leaf) Hold(h []*backendv1.Holding) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holdings = h
+}
+
+// Record returns a copy of the counters.
+func (l *Leaf) Record() Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.record
+	out.Keys = make(map[string]int, len(l.record.Keys))
+	for k, v := range l.record.Keys {
+		out.Keys[k] = v
+	}
+	return out
+}
+
+// Address returns where the server listens.
+func (l *Leaf) Address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
+
+// Stop closes the listener and every connection at once, as a crash does.
+func (l *Leaf) Stop() {
+	l.mu.Lock()
+	server := l.server
+	l.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/leafd/switcher/switcher.go
@@ -0,0 +1,52 @@
+// Package switcher lets tests change the stand-ins of a process and read their records over HTTP.
+package switcher
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"lycheelift.example/leafd/leaf"
+	backendv1 "lycheelift.example/schema/gen/lycheelift/backend/v1"
+)
+
+// Handler serves GET /record, and POST /behave, /chill and /state for the leaves whose name begins with ?leaf=.
+func Handler(leaves []*leaf.Leaf) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
+		out := make([]leaf.Record, 0, len(leaves))
+		for _, l := range leaves {
+			out = append(out, l.Record())
+		}
+		_ = json.NewEncoder(w).Encode(out)
+	})
+	each := func(pattern string, f func(*leaf.Leaf, *http.Request) error) {
+		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+			for _, l := range leaves {
+				if !strings.HasPrefix(l.Record().Leaf, r.URL.Query().Get("leaf")) {
+					continue
+				}
+				if err := f(l, r); err != nil {
+					http.Error(w, err.Error(), http.StatusBadRequest)
+					return
+				}
+			}
+		})
+	}
+	each("POST /behave", behave)
+	each("POST /chill", func(l *leaf.Leaf, _ *http.Request) error { l.Chill(); return nil })
+	each("POST /state", func(l *leaf.Leaf, r *http.Request) error {
+		l.SetState(backendv1.State(backendv1.State_value["STATE_"+strings.ToUpper(r.URL.Query().Get("state"))]))
+		return nil
+	})
+	return mux
+}
+
+// behave overwrites the fields that the query parameter "set" holds as JSON.
+func behave(l *leaf.Leaf, r *http.Request) error {
+	var err error
+	l.Set(func(b *leaf.Behaviour) {
+		err = json.Unmarshal([]byte(r.URL.Query().Get("set")), b)
+	})
+	return err
+}
--- a/lib/cataloguer/table.go
+++ b/lib/cataloguer/table.go
@@ -132,3 +132,15 @@
 	})
 	return out
 }
+
+// Find returns a leaf that may receive work.
+func (t *Table) Find(service, leaf string, now time.Time) (*Leaf, bool) {
+	s := t.shard(service)
+	s.RLock()
+	defer s.RUnlock()
+	l, ok := s.services[service][leaf]
+	if !ok || !l.Live(now) {
+		return nil, false
+	}
+	return l, true
+}
--- /dev/null
+++ b/lib/configurator/document.go
@@ -0,0 +1,93 @@
+// Package configurator decides patches against the numbered configuration.
+package configurator
+
+import (
+	"encoding/json"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/samber/oops"
+
+	"lycheelift.example/lib/checker"
+	"lycheelift.example/lib/ranker"
+	"lycheelift.example/schema/gen/settings/configuration"
+)
+
+// Document is a checked configuration.
+type Document struct {
+	configuration.Configuration
+}
+
+// Parse checks a JSON document whole and decodes it. The error is a checker.Faults value that lists every fault.
+func Parse(data []byte) (*Document, error) {
+	const name = "configuration"
+	if err := checker.Document(name, checker.Configuration, data); err != nil {
+		return nil, err
+	}
+	d := &Document{}
+	if err := json.Unmarshal(data, &d.Configuration); err != nil {
+		return nil, oops.In("configurator").Wrapf(err, "decode configuration")
+	}
+	if faults := d.references(name); len(faults) > 0 {
+		return nil, faults
+	}
+	return d, nil
+}
+
+// references finds hosts of unknown data centres and addresses that are malformed or used twice.
+func (d *Document) references(file string) checker.Faults {
+	var faults checker.Faults
+	used := make(map[netip.AddrPort]string)
+	for _, name := range d.names() {
+		host := d.Hosts[name]
+		if _, ok := d.Centers[host.Center]; !ok {
+			faults = append(faults, checker.Fault{File: file, Key: "hosts." + name + ".center", Text: "unknown data centre " + host.Center})
+		}
+		address, err := netip.ParseAddrPort(host.Address)
+		if err != nil {
+			faults = append(faults, checker.Fault{File: file, Key: "hosts." + name + ".address", Text: "must be an IP address and a port"})
+			continue
+		}
+		if other, ok := used[address]; ok {
+			faults = append(faults, checker.Fault{File: file, Key: "hosts." + name + ".address", Text: "is also the address of " + other})
+		}
+		used[address] = name
+	}
+	return faults
+}
+
+func (d *Document) names() []string {
+	out := make([]string, 0, len(d.Hosts))
+	for name := range d.Hosts {
+		out = append(out, name)
+	}
+	slices.SortFunc(out, strings.Compare)
+	return out
+}
+
+// Placement returns the hosts with data centre and region, sorted by name.
+func (d *Document) Placement() []ranker.Host {
+	out := make([]ranker.Host, 0, len(d.Hosts))
+	for _, name := range d.names() {
+		center := d.Hosts[name].Center
+		out = append(out, ranker.Host{Name: name, Center: center, Region: d.Centers[center].Region})
+	}
+	return out
+}
+
+// Address returns the peer address of a host.
+func (d *Document) Address(host string) (netip.AddrPort, bool) {
+	h, ok := d.Hosts[host]
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	address, err := netip.ParseAddrPort(h.Address)
+	return address, err == nil
+}
+
+// Out reports whether a data centre is taken out. An unknown data centre counts as out.
+func (d *Document) Out(center string) bool {
+	c, ok := d.Centers[center]
+	return !ok || c.Out
+}
