--- /dev/null
+++ b/lib/recorder/span.go
@@ -0,0 +1,102 @@
+package recorder
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+// source identifies one run of a host.
+type source struct {
+	host        string
+	incarnation uint64
+}
+
+// spans returns the runs of consecutive numbers in a batch.
+func spans(batch *statev1.Batch) []*statev1.Span {
+	var out []*statev1.Span
+	for _, a := range batch.GetAnswers() {
+		if last := len(out) - 1; last >= 0 && out[last].GetUntil()+1 == a.GetNumber() {
+			out[last].Until = a.GetNumber()
+			out[last].Last = a.GetTime()
+			continue
+		}
+		out = append(out, &statev1.Span{
+			Host: batch.GetHost(), Incarnation: batch.GetIncarnation(),
+			From: a.GetNumber(), Until: a.GetNumber(), First: a.GetTime(), Last: a.GetTime(),
+		})
+	}
+	if batch.GetClosed() {
+		out = append(out, &statev1.Span{
+			Host: batch.GetHost(), Incarnation: batch.GetIncarnation(), From: batch.GetLast() + 1, Until: batch.GetLast(), Closed: true,
+		})
+	}
+	return Union(out)
+}
+
+// Union joins spans that touch or overlap, sorted by host, incarnation and number.
+func Union(in []*statev1.Span) []*statev1.Span {
+	sorted := slices.Clone(in)
+	slices.SortFunc(sorted, func(a, b *statev1.Span) int {
+		return cmp.Or(cmp.Compare(a.GetHost(), b.GetHost()), cmp.Compare(a.GetIncarnation(), b.GetIncarnation()), cmp.Compare(a.GetFrom(), b.GetFrom()))
+	})
+	var out []*statev1.Span
+	for _, s := range sorted {
+		if last := len(out) - 1; last >= 0 && touches(out[last], s) {
+			out[last] = join(out[last], s)
+			continue
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func touches(a, b *statev1.Span) bool {
+	return a.GetHost() == b.GetHost() && a.GetIncarnation() == b.GetIncarnation() && b.GetFrom() <= a.GetUntil()+1
+}
+
+func join(a, b *statev1.Span) *statev1.Span {
+	out := &statev1.Span{
+		Host: a.GetHost(), Incarnation: a.GetIncarnation(), From: a.GetFrom(), Until: max(a.GetUntil(), b.GetUntil()),
+		First: a.GetFirst(), Last: later(a.GetLast(), b.GetLast()), Closed: a.GetClosed() || b.GetClosed(),
+	}
+	return out
+}
+
+func later(a, b *timestamppb.Timestamp) *timestamppb.Timestamp {
+	if a.AsTime().After(b.AsTime()) {
+		return a
+	}
+	return b
+}
+
+// Gaps returns what united spans lack between two times: numbers that no control host keeps, and the end of each
+// host that stopped without closing its record and has been silent for the time quiet.
+func Gaps(united []*statev1.Span, from, until time.Time, quiet time.Duration) []*statev1.Gap {
+	var out []*statev1.Gap
+	for i, s := range united {
+		if i > 0 && same(united[i-1], s) {
+			if overlaps(united[i-1].GetLast().AsTime(), s.GetFirst().AsTime(), from, until) {
+				out = append(out, &statev1.Gap{Host: s.GetHost(), Incarnation: s.GetIncarnation(), From: united[i-1].GetUntil() + 1, Until: s.GetFrom() - 1})
+			}
+		}
+		final := i == len(united)-1 || !same(s, united[i+1])
+		last := s.GetLast().AsTime()
+		if final && !s.GetClosed() && !last.Before(from) && last.Add(quiet).Before(until) {
+			out = append(out, &statev1.Gap{Host: s.GetHost(), Incarnation: s.GetIncarnation(), From: s.GetUntil() + 1, Open: true})
+		}
+	}
+	return out
+}
+
+func same(a, b *statev1.Span) bool {
+	return source{a.GetHost(), a.GetIncarnation()} == source{b.GetHost(), b.GetIncarnation()}
+}
+
+func overlaps(first, last, from, until time.Time) bool {
+	return !first.After(until) && !last.Before(from)
+}
--- /dev/null
+++ b/lib/transporter/security_test.go
@@ -0,0 +1,153 @@
+package transporter_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/lib/authorizer"
+	"lycheelift.example/lib/transporter"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+}
+
+var day = time.Date(2026, 1, 2, 0, 0, 0, 0, time.UTC)
+
+func newAuthority(t *testing.T) *authority {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	qt.Assert(t, err, qt.IsNil)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: day.AddDate(-10, 0, 0), NotAfter: day.AddDate(90, 0, 0), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	qt.Assert(t, err, qt.IsNil)
+	cert, err := x509.ParseCertificate(der)
+	qt.Assert(t, err, qt.IsNil)
+	return &authority{key: key, cert: cert}
+}
+
+func (a *authority) issue(t *testing.T, folder, name, role string) transporter.Files {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	qt.Assert(t, err, qt.IsNil)
+	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{
+		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name, OrganizationalUnit: []string{role}},
+		NotBefore: day.AddDate(-10, 0, 0), NotAfter: day.AddDate(90, 0, 0), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}, a.cert, &key.PublicKey, a.key)
+	qt.Assert(t, err, qt.IsNil)
+	private, err := x509.MarshalECPrivateKey(key)
+	qt.Assert(t, err, qt.IsNil)
+	write := func(suffix, kind string, data []byte) string {
+		path := filepath.Join(folder, name+suffix)
+		qt.Assert(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600), qt.IsNil)
+		return path
+	}
+	return transporter.Files{
+		Certificate: write(".crt", "CERTIFICATE", der), Key: write(".key", "EC PRIVATE KEY", private),
+		Authority: write(".ca", "CERTIFICATE", a.cert.Raw),
+	}
+}
+
+// serve starts a server that answers with the name of the peer, or 403 without the operator's role.
+func serve(t *testing.T, s *transporter.Security) string {
+	listener, err := transporter.Listen(context.Background(), "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := transporter.Server(authorizer.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if authorizer.Require(r.Context(), authorizer.Operator) != nil {
+			w.WriteHeader(http.StatusForbidden)
+		}
+	}), s.Open()))
+	go func() { _ = s.Serve(server, listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
+func get(t *testing.T, s *transporter.Security, address string) (int, error) {
+	client := s.Client(transporter.Silence{Idle: time.Second, Answer: time.Second})
+	defer client.CloseIdleConnections()
+	request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, s.URL(address), nil)
+	qt.Assert(t, err, qt.IsNil)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
+// Guards against peers that act without the role, and against servers of another authority.
+func TestRolesAndAuthoritiesAreChecked(t *testing.T) {
+	clock := func() time.Time { return day }
+	ours := newAuthority(t)
+	server, err := transporter.NewSecurity(false, ours.issue(t, t.TempDir(), "control-1", "host"), clock)
+	qt.Assert(t, err, qt.IsNil)
+	address := serve(t, server)
+	status := func(a *authority, role string) (int, error) {
+		s, err := transporter.NewSecurity(false, a.issue(t, t.TempDir(), "peer", role), clock)
+		qt.Assert(t, err, qt.IsNil)
+		return get(t, s, address)
+	}
+	code, err := status(ours, "operator")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, code, qt.Equals, http.StatusOK)
+	code, err = status(ours, "caller")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, code, qt.Equals, http.StatusForbidden)
+	_, err = status(newAuthority(t), "operator")
+	qt.Assert(t, err, qt.IsNotNil)
+}
+
+// Guards against a key change that needs a restart, and against a half-written file that stops the process.
+func TestIdentityFollowsItsFiles(t *testing.T) {
+	now := day
+	folder := t.TempDir()
+	ours, theirs := newAuthority(t), newAuthority(t)
+	s, err := transporter.NewSecurity(false, ours.issue(t, folder, "control-1", "host"), func() time.Time { return now })
+	qt.Assert(t, err, qt.IsNil)
+	address := serve(t, s)
+	client, err := transporter.NewSecurity(false, theirs.issue(t, t.TempDir(), "peer", "operator"), func() time.Time { return day })
+	qt.Assert(t, err, qt.IsNil)
+	_, err = get(t, client, address)
+	qt.Assert(t, err, qt.IsNotNil)
+
+	touch := func(at time.Time) {
+		for _, suffix := range []string{".crt", ".key", ".ca"} {
+			qt.Assert(t, os.Chtimes(filepath.Join(folder, "control-1"+suffix), at, at), qt.IsNil)
+		}
+	}
+	qt.Assert(t, os.WriteFile(filepath.Join(folder, "control-1.crt"), []byte("half"), 0o600), qt.IsNil)
+	touch(time.Now().Add(time.Hour))
+	now = now.Add(time.Minute)
+	_, err = get(t, client, address)
+	qt.Assert(t, err, qt.IsNotNil)
+
+	theirs.issue(t, folder, "control-1", "host")
+	touch(time.Now().Add(2 * time.Hour))
+	now = now.Add(time.Minute)
+	code, err := get(t, client, address)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, code, qt.Equals, http.StatusOK)
+}
+
+// Guards against TLS that is off where others can reach the port.
+func TestTLSOffIsRefusedBeyondLoopback(t *testing.T) {
+	_, err := transporter.NewSecurity(true, transporter.Files{}, time.Now, "127.0.0.1:1", "10.0.0.1:1")
+	qt.Assert(t, err, qt.ErrorMatches, ".*10.0.0.1:1 is not on loopback")
+}
