--- a/lib/recorder/buffer.go
+++ b/lib/recorder/buffer.go
@@ -45,14 +45,14 @@
 
 // Take returns up to limit of the oldest answers without removing them, so that a batch that was not stored
 // is sent again. It returns nil when there is nothing to send.
-func (b *Buffer) Take(limit int) *statev1.Batch {
+func (b *Buffer) Take(limit int) *statev1.AnswerBatch {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.taken = min(limit, len(b.waiting))
 	if b.taken == 0 && !b.closed {
 		return nil
 	}
-	out := &statev1.Batch{Host: b.host, Incarnation: b.incarnation, Answers: b.waiting[:b.taken:b.taken]}
+	out := &statev1.AnswerBatch{Host: b.host, Incarnation: b.incarnation, Answers: b.waiting[:b.taken:b.taken]}
 	if b.closed && b.taken == len(b.waiting) {
 		out.Closed = true
 		out.Last = b.next - 1
--- a/lib/recorder/span.go
+++ b/lib/recorder/span.go
@@ -17,7 +17,7 @@
 }
 
 // spans returns the runs of consecutive numbers in a batch.
-func spans(batch *statev1.Batch) []*statev1.Span {
+func spans(batch *statev1.AnswerBatch) []*statev1.Span {
 	var out []*statev1.Span
 	for _, a := range batch.GetAnswers() {
 		if last := len(out) - 1; last >= 0 && out[last].GetUntil()+1 == a.GetNumber() {
