--- /dev/null
+++ b/lib/journaler/file.go
@@ -0,0 +1,131 @@
+package journaler
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/samber/oops"
+)
+
+// FileSystem is the folder that holds a journal. Names have no folder part.
+type FileSystem interface {
+	// List returns the names of all files.
+	List() ([]string, error)
+	// Read returns the content of a file; the error is os.ErrNotExist when there is none.
+	Read(name string) ([]byte, error)
+	// Create makes an empty file for writing and empties an existing one.
+	Create(name string) (File, error)
+	// Truncate cuts a file to a size and syncs it.
+	Truncate(name string, size int64) error
+	// Rename replaces a file in one step.
+	Rename(from, to string) error
+	// Remove deletes a file.
+	Remove(name string) error
+	// Sync makes creations, renames and deletions durable.
+	Sync() error
+}
+
+// File is a file open for appending.
+type File interface {
+	io.WriteCloser
+	// Sync makes what was written durable.
+	Sync() error
+}
+
+// Folder is a folder of the operating system.
+type Folder struct {
+	path string
+	lock *os.File
+}
+
+const (
+	lockName   = "lock"
+	folderMode = 0o750
+	fileMode   = 0o600
+)
+
+// ErrLocked is returned when another process uses the folder.
+var ErrLocked = errors.New("the data folder is in use by another process")
+
+// OpenFolder makes the folder if it is missing and locks it against other processes until Close.
+func OpenFolder(path string) (*Folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, oops.In("journaler").Wrapf(err, "make %s", path)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, oops.In("journaler").Wrapf(err, "open the lock")
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		_ = lock.Close()
+		return nil, oops.In("journaler").Wrapf(ErrLocked, "%s", path)
+	}
+	// The folder's own entry must survive too, or a synced log could vanish with its folder.
+	parent := &Folder{path: filepath.Dir(path)}
+	if err := parent.Sync(); err != nil {
+		_ = lock.Close()
+		return nil, err
+	}
+	return &Folder{path: path, lock: lock}, nil
+}
+
+// Close releases the lock.
+func (f *Folder) Close() error {
+	return f.lock.Close()
+}
+
+// List returns the names of all files but the lock.
+func (f *Folder) List() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, oops.In("journaler").Wrap(err)
+	}
+	out := make([]string, 0, len(entries))
+	for _, e := range entries {
+		if e.Type().IsRegular() && e.Name() != lockName {
+			out = append(out, e.Name())
+		}
+	}
+	return out, nil
+}
+
+// Read returns the content of a file.
+func (f *Folder) Read(name string) ([]byte, error) {
+	return os.ReadFile(filepath.Join(f.path, name))
+}
+
+// Create makes an empty file.
+func (f *Folder) Create(name string) (File, error) {
+	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
+}
+
+// Truncate cuts a file and syncs it.
+func (f *Folder) Truncate(name string, size int64) error {
+	file, err := os.OpenFile(filepath.Join(f.path, name), os.O_WRONLY, fileMode)
+	if err != nil {
+		return oops.In("journaler").Wrap(err)
+	}
+	return errors.Join(file.Truncate(size), file.Sync(), file.Close())
+}
+
+// Rename replaces a file.
+func (f *Folder) Rename(from, to string) error {
+	return os.Rename(filepath.Join(f.path, from), filepath.Join(f.path, to))
+}
+
+// Remove deletes a file.
+func (f *Folder) Remove(name string) error {
+	return os.Remove(filepath.Join(f.path, name))
+}
+
+// Sync syncs the folder itself.
+func (f *Folder) Sync() error {
+	d, err := os.Open(f.path)
+	if err != nil {
+		return oops.In("journaler").Wrap(err)
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
