--- /dev/null
+++ b/lib/replicator/read.go
@@ -0,0 +1,39 @@
+package replicator
+
+import (
+	"slices"
+	"time"
+)
+
+type pendingRead struct {
+	ids          []uint64
+	index, round uint64
+}
+
+// Read asks for a linearizable read; Ready returns the identities once a majority has confirmed the leader
+// (read index, dissertation section 6.4). Several reads share one round.
+func (r *Replicator) Read(now time.Time, ids ...uint64) error {
+	if r.role != Leader {
+		return ErrNotLeader
+	}
+	r.round++
+	// Commands acknowledged by earlier leaders stand before the first record of this term.
+	r.reads = append(r.reads, pendingRead{ids: ids, index: max(r.commit, r.termStart), round: r.round})
+	r.beat(now)
+	r.confirmReads()
+	return nil
+}
+
+func (r *Replicator) confirmReads() {
+	r.reads = slices.DeleteFunc(r.reads, func(p pendingRead) bool {
+		confirmed := r.quorum(func(host string) bool {
+			return host == r.config.Host || r.progress[host] != nil && r.progress[host].round >= p.round
+		})
+		if confirmed {
+			for _, id := range p.ids {
+				r.confirm = append(r.confirm, Read{ID: id, Index: p.index})
+			}
+		}
+		return confirmed
+	})
+}
