Run the control hosts on the replicated log

controld/replica drives the replicator in one goroutine with group commit; the existing configuration machine runs behind it through a thin adapter. make demo passes with three control hosts.

--- /dev/null
+++ b/controld/replica/dialer.go
@@ -0,0 +1,91 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	// messageTimeout bounds one message between replicas. It is longer than a sync on a slow disk.
+	messageTimeout = 2 * time.Second
+	// connectTimeout bounds the wait for a connection on which to forward a command.
+	connectTimeout = 200 * time.Millisecond
+	// inTransit bounds the messages to one host that are not answered yet; more are dropped, as a network may.
+	inTransit = 32
+	// keepaliveTime is the least that gRPC servers permit by default without calls in progress.
+	keepaliveTime   = 10 * time.Second
+	keepaliveAnswer = time.Second
+)
+
+// redial bounds the wait before a new attempt to connect. gRPC's default grows to two minutes, in which a
+// host that came back would stay out of the group.
+var redial = backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond}
+
+type line struct {
+	conn *grpc.ClientConn
+	slot chan struct{}
+}
+
+// dialer holds one connection per address. It is safe for concurrent use.
+type dialer struct {
+	options []grpc.DialOption
+	mu      sync.Mutex
+	lines   map[string]*line
+}
+
+func newDialer(options []grpc.DialOption) *dialer {
+	base := []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: time.Second}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveAnswer}),
+	}
+	return &dialer{options: append(base, options...), lines: make(map[string]*line)}
+}
+
+func (d *dialer) dial(address string) (*line, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if l, ok := d.lines[address]; ok {
+		return l, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, d.options...)
+	if err != nil {
+		return nil, oops.In("replica").Wrapf(err, "connect to %s", address)
+	}
+	l := &line{conn: conn, slot: make(chan struct{}, inTransit)}
+	d.lines[address] = l
+	return l, nil
+}
+
+// connected waits a short time for the connection. A call on one that is not connected would fail in a way
+// that does not tell whether it was sent.
+func (l *line) connected(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	for {
+		state := l.conn.GetState()
+		if state == connectivity.Ready {
+			return true
+		}
+		l.conn.Connect()
+		if !l.conn.WaitForStateChange(ctx, state) {
+			return false
+		}
+	}
+}
+
+func (d *dialer) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.lines {
+		_ = l.conn.Close()
+	}
+}
--- /dev/null
+++ b/controld/replica/propose.go
@@ -0,0 +1,216 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"lycheelift.example/lib/replicator"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+// retryInterval is the time between two looks for a leader.
+const retryInterval = 20 * time.Millisecond
+
+// errReplaced is the cause of an unknown result when leadership was lost.
+var errReplaced = errors.New("leadership was lost before the command was committed")
+
+type outcome struct {
+	result *statev1.Result
+	err    error
+}
+
+type proposal struct {
+	command *statev1.Command
+	term    uint64
+	done    chan outcome // holds one outcome
+}
+
+// Propose records a command and returns the machine's result. On a follower it is passed to the leader. The error
+// is an *UnknownError when the command may have been recorded.
+func (r *Replica) Propose(ctx context.Context, c *statev1.Command) (*statev1.Result, error) {
+	for {
+		result, err := r.proposeLocal(ctx, c)
+		if errors.Is(err, ErrNoLeader) {
+			result, err = r.proposeRemote(ctx, c)
+		}
+		if !errors.Is(err, ErrNoLeader) {
+			return result, err
+		}
+		if err := pause(ctx); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNoLeader, err)
+		}
+	}
+}
+
+func pause(ctx context.Context) error {
+	timer := time.NewTimer(retryInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// proposeLocal records a command if this host is the leader, else it returns ErrNoLeader.
+func (r *Replica) proposeLocal(ctx context.Context, c *statev1.Command) (*statev1.Result, error) {
+	p := proposal{command: c, done: make(chan outcome, 1)}
+	if err := r.do(ctx, func() { r.enqueue(p) }); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNoLeader, err)
+	}
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-r.stopped:
+		return nil, &UnknownError{ErrStopped}
+	case <-ctx.Done():
+		return nil, &UnknownError{ctx.Err()}
+	}
+}
+
+func (r *Replica) enqueue(p proposal) {
+	if r.failed != nil {
+		p.done <- outcome{err: fmt.Errorf("%w: %w", ErrFailed, r.failed)}
+		return
+	}
+	r.queue = append(r.queue, p)
+}
+
+// submit proposes everything that is queued as one batch.
+func (r *Replica) submit() {
+	r.ask()
+	if len(r.queue) == 0 {
+		return
+	}
+	queue := r.queue
+	r.queue = nil
+	commands := make([]*statev1.Command, 0, len(queue))
+	for _, p := range queue {
+		commands = append(commands, p.command)
+	}
+	index, term, err := r.core.Propose(r.config.Clock(), commands...)
+	for i, p := range queue {
+		if err != nil {
+			p.done <- outcome{err: ErrNoLeader}
+			continue
+		}
+		p.term = term
+		r.waiting[index+uint64(i)] = p
+	}
+}
+
+// resolve answers the proposal that became a record.
+func (r *Replica) resolve(record *statev1.Record, result *statev1.Result) {
+	r.release()
+	p, ok := r.waiting[record.GetIndex()]
+	if !ok {
+		return
+	}
+	delete(r.waiting, record.GetIndex())
+	if p.term != record.GetTerm() {
+		p.done <- outcome{err: &UnknownError{errReplaced}}
+		return
+	}
+	p.done <- outcome{result: result}
+}
+
+// disown answers the proposals whose term of leadership is over.
+func (r *Replica) disown(term uint64, leading bool) {
+	for index, p := range r.waiting {
+		if leading && p.term == term {
+			continue
+		}
+		p.done <- outcome{err: &UnknownError{errReplaced}}
+		delete(r.waiting, index)
+	}
+	if !leading {
+		r.dropReads(ErrNoLeader)
+	}
+}
+
+// abandon answers everything that waits.
+func (r *Replica) abandon(err error) {
+	for _, p := range r.queue {
+		p.done <- outcome{err: err}
+	}
+	r.queue = nil
+	for index, p := range r.waiting {
+		p.done <- outcome{err: &UnknownError{err}}
+		delete(r.waiting, index)
+	}
+	r.dropReads(err)
+	for _, b := range r.barriers {
+		b.done <- err
+	}
+	r.barriers = nil
+	for t, ch := range r.tickets {
+		close(ch)
+		delete(r.tickets, t)
+	}
+}
+
+// Add adds a control host as a learner; the leader gives it a vote when it has caught up.
+func (r *Replica) Add(ctx context.Context, host, address string) error {
+	return r.change(ctx, change{add: &statev1.Replica{Host: host, Address: address}})
+}
+
+// Remove removes a control host.
+func (r *Replica) Remove(ctx context.Context, host string) error {
+	return r.change(ctx, change{remove: host})
+}
+
+type change struct {
+	add    *statev1.Replica
+	remove string
+}
+
+// change makes a change of members on the leader. Both kinds may be repeated safely, so unknown results are
+// not told apart.
+func (r *Replica) change(ctx context.Context, c change) error {
+	for {
+		err := r.changeLocal(ctx, c)
+		if errors.Is(err, ErrNoLeader) {
+			err = r.changeRemote(ctx, c)
+		}
+		if !errors.Is(err, ErrNoLeader) && !errors.Is(err, replicator.ErrChanging) {
+			return err
+		}
+		if stop := pause(ctx); stop != nil {
+			return errors.Join(err, stop)
+		}
+	}
+}
+
+func (r *Replica) changeLocal(ctx context.Context, c change) error {
+	done := make(chan error, 1)
+	if err := r.do(ctx, func() { done <- r.changeNow(c) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-r.stopped:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (r *Replica) changeNow(c change) error {
+	if r.failed != nil {
+		return ErrFailed
+	}
+	var err error
+	if c.add != nil {
+		err = r.core.Add(r.config.Clock(), c.add.GetHost(), c.add.GetAddress())
+	} else {
+		err = r.core.Remove(r.config.Clock(), c.remove)
+	}
+	if errors.Is(err, replicator.ErrNotLeader) {
+		return ErrNoLeader
+	}
+	return err
+}
--- a/controld/server/server.go
+++ b/controld/server/server.go
@@ -3,15 +3,18 @@
 
 import (
 	"context"
+	"errors"
+	"hash/fnv"
 	"net"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 
 	"lycheelift.example/controld/operator"
-	"lycheelift.example/lib/configurator"
+	"lycheelift.example/controld/replica"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
@@ -19,17 +22,74 @@
 	settings "lycheelift.example/schema/gen/settings/controld"
 )
 
-// stopTimeout bounds the wait for requests in progress on a graceful stop.
-const stopTimeout = 10 * time.Second
+const (
+	// stopTimeout bounds the wait for requests in progress on a graceful stop.
+	stopTimeout = 10 * time.Second
+	// handOverTimeout bounds the wait for another host to take over the lead on a graceful stop.
+	handOverTimeout = 3 * time.Second
+	// maxMessage bounds a message between control hosts, in bytes. A batch or chunk has 1 MiB, and one record may be larger.
+	maxMessage = 16 << 20
+	// logFolder is the part of the data folder that holds the replicated log.
+	logFolder = "log"
+)
 
 // Run serves a control host until ctx ends.
 func Run(ctx context.Context, s settings.Control, clock func() time.Time) error {
-	st := &store{clock: clock, machine: configurator.New()}
+	state := newAdapter()
+	config, err := configure(s, clock)
+	if err != nil {
+		return err
+	}
+	log, err := replica.Open(config, filepath.Join(s.Data, logFolder), state)
+	if err != nil {
+		return err
+	}
+	state.log = log
+	running, stopLog := context.WithCancel(context.Background())
+	logged := make(chan error, 1)
+	go func() { logged <- log.Run(running) }()
+	err = serve(ctx, s, clock, log, state)
+	stopLog()
+	return errors.Join(err, <-logged)
+}
+
+// configure converts the settings, whose durations the schema has checked.
+func configure(s settings.Control, clock func() time.Time) (replica.Config, error) {
+	election, err := time.ParseDuration(s.Election)
+	if err != nil {
+		return replica.Config{}, oops.In("server").Wrapf(err, "election")
+	}
+	heartbeat, err := time.ParseDuration(s.Heartbeat)
+	if err != nil {
+		return replica.Config{}, oops.In("server").Wrapf(err, "heartbeat")
+	}
+	if heartbeat <= 0 || election < 2*heartbeat {
+		return replica.Config{}, oops.In("server").Errorf("election must be at least twice the heartbeat, and the heartbeat above zero")
+	}
+	out := replica.Config{
+		Host: s.Name, Join: s.Join, Election: election, Heartbeat: heartbeat, Compact: uint64(s.Compact), //nolint:gosec // The schema demands at least 16.
+		Clock: clock, Seed: seed(s.Name, clock()),
+	}
+	for _, m := range s.Members {
+		out.Members = append(out.Members, replica.Peer{Host: m.Name, Address: m.Address})
+	}
+	return out, nil
+}
+
+// seed differs between hosts and starts, so that election times do too.
+func seed(host string, now time.Time) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(host))
+	return h.Sum64() ^ uint64(now.UnixNano())
+}
+
+func serve(ctx context.Context, s settings.Control, clock func() time.Time, log *replica.Replica, state *adapter) error {
 	mux := http.NewServeMux()
-	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(st)))
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(state)))
 	operators := transporter.Server(mux)
-	peers := grpc.NewServer()
-	peerv1.RegisterControlServiceServer(peers, st)
+	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
+	peerv1.RegisterControlServiceServer(peers, state)
+	peerv1.RegisterReplicaServiceServer(peers, log.Service())
 	operatorListener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Operators)
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen for operators")
@@ -48,10 +108,29 @@
 	case <-ctx.Done():
 	}
 	eventer.Draining.Log(clock(), "host", s.Name)
-	stop, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	err = operators.Shutdown(stop)
-	peers.GracefulStop()
+	err = stop(operators, peers, log)
 	eventer.Stopped.Log(clock(), "host", s.Name)
 	return oops.In("server").Wrapf(err, "stop")
 }
+
+// stop passes the lead on, so that the group need not wait for an election, and ends requests in progress.
+func stop(operators *http.Server, peers *grpc.Server, log *replica.Replica) error {
+	yield, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	// Without a successor the group elects a leader by itself.
+	_ = log.HandOver(yield)
+	ending, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	err := operators.Shutdown(ending)
+	ended := make(chan struct{})
+	go func() {
+		peers.GracefulStop()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ending.Done():
+		peers.Stop()
+	}
+	return err
+}
