Bound the configurator's history and refuse reused identities

Cause: versions, audit entries and identities grew without bound, every version held its whole document, a resend with another content got the first result, and the check stopped before references when the schema found a fault.

A reused identity is refused with its own verdict. Faults have the same order and text on every host.

--- a/lib/checker/document.go
+++ b/lib/checker/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"slices"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/samber/oops"
 	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
 
@@ -49,7 +51,9 @@
 		return nil
 	}
 	faults := collect(file, invalid, nil)
-	slices.SortStableFunc(faults, func(a, b Fault) int { return strings.Compare(a.Key, b.Key) })
+	slices.SortFunc(faults, func(a, b Fault) int {
+		return cmp.Or(strings.Compare(a.Key, b.Key), strings.Compare(a.Text, b.Text))
+	})
 	return faults
 }
 
@@ -81,6 +85,10 @@
 
 func collect(file string, e *jsonschema.ValidationError, faults Faults) Faults {
 	if len(e.Causes) == 0 {
+		// The validator names surplus properties in the order of a map; the fault's text must be the same on every host.
+		if surplus, ok := e.ErrorKind.(*kind.AdditionalProperties); ok {
+			slices.Sort(surplus.Properties)
+		}
 		printer := message.NewPrinter(language.English)
 		key := strings.Join(e.InstanceLocation, ".")
 		return append(faults, Fault{File: file, Key: key, Text: e.ErrorKind.LocalizedString(printer)})
--- a/lib/configurator/document.go
+++ b/lib/configurator/document.go
@@ -9,7 +9,6 @@
 
 	"github.com/samber/oops"
 
-	"lycheelift.example/lib/checker"
 	"lycheelift.example/lib/ranker"
 	"lycheelift.example/schema/gen/settings/configuration"
 )
@@ -21,42 +20,20 @@
 
 // Parse checks a JSON document whole and decodes it. The error is a checker.Faults value that lists every fault.
 func Parse(data []byte) (*Document, error) {
-	const name = "configuration"
-	if err := checker.Document(name, checker.Configuration, data); err != nil {
+	faults, err := check(data)
+	if err != nil {
 		return nil, err
 	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
 	d := &Document{}
 	if err := json.Unmarshal(data, &d.Configuration); err != nil {
 		return nil, oops.In("configurator").Wrapf(err, "decode configuration")
 	}
-	if faults := d.references(name); len(faults) > 0 {
-		return nil, faults
-	}
 	return d, nil
 }
 
-// references finds hosts of unknown data centres and addresses that are malformed or used twice.
-func (d *Document) references(file string) checker.Faults {
-	var faults checker.Faults
-	used := make(map[netip.AddrPort]string)
-	for _, name := range d.names() {
-		host := d.Hosts[name]
-		if _, ok := d.Centers[host.Center]; !ok {
-			faults = append(faults, checker.Fault{File: file, Key: "hosts." + name + ".center", Text: "unknown data centre " + host.Center})
-		}
-		address, err := netip.ParseAddrPort(host.Address)
-		if err != nil {
-			faults = append(faults, checker.Fault{File: file, Key: "hosts." + name + ".address", Text: "must be an IP address and a port"})
-			continue
-		}
-		if other, ok := used[address]; ok {
-			faults = append(faults, checker.Fault{File: file, Key: "hosts." + name + ".address", Text: "is also the address of " + other})
-		}
-		used[address] = name
-	}
-	return faults
-}
-
 func (d *Document) names() []string {
 	out := make([]string, 0, len(d.Hosts))
 	for name := range d.Hosts {
--- a/lib/configurator/machine.go
+++ b/lib/configurator/machine.go
@@ -1,126 +1,220 @@
 package configurator
 
 import (
-	"bytes"
 	"errors"
+	"fmt"
 	"time"
 
-	jsonpatch "github.com/evanphx/json-patch/v5"
 	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"lycheelift.example/lib/checker"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
+const (
+	// maxBody bounds a patch, in bytes.
+	maxBody = 1 << 20
+	// maxDocument bounds the document, in bytes. 4,096 hosts and as many services take about 1 MiB.
+	maxDocument = 2 << 20
+	// maxFaults bounds the faults in a result, so that a patch full of faults does not fill the audit trail.
+	maxFaults = 200
+)
+
 // Machine is the replicated state machine of the configuration. It is not safe for concurrent use:
 // the replicated log applies one command after the other.
 type Machine struct {
-	versions []*statev1.Version
-	audits   []*statev1.Audit
-	results  map[string]*statev1.PatchResult
+	history history
+	trail   trail
+}
+
+// Option changes a machine.
+type Option func(*Machine)
+
+// WithVersions sets the number of newest versions kept.
+func WithVersions(n int) Option {
+	return func(m *Machine) { m.history.keep = n }
+}
+
+// WithAudits sets how many audit entries, and how many bytes of them, are kept.
+func WithAudits(n, bytes int) Option {
+	return func(m *Machine) { m.trail.keep, m.trail.bytes = n, bytes }
 }
 
 // New returns a machine whose version 1 is the empty document.
-func New() *Machine {
-	return &Machine{
-		versions: []*statev1.Version{{Number: 1, Document: []byte("{}"), Difference: []byte("{}")}},
-		results:  make(map[string]*statev1.PatchResult),
+func New(options ...Option) *Machine {
+	m := &Machine{
+		history: history{keep: DefaultVersions},
+		trail:   trail{keep: DefaultAudits, bytes: DefaultAuditBytes, results: make(map[string]*statev1.Audit)},
+	}
+	for _, o := range options {
+		o(m)
 	}
+	first := &statev1.Version{Number: 1, Document: []byte("{}"), Difference: []byte("{}")}
+	m.history.add(first, map[string]any{})
+	return m
 }
 
 // Current returns the newest version.
 func (m *Machine) Current() *statev1.Version {
-	return m.versions[len(m.versions)-1]
+	return m.history.current
 }
 
-// Version returns a version by number.
+// Version returns a version by number, if it is still kept.
 func (m *Machine) Version(number uint64) (*statev1.Version, bool) {
-	for _, v := range m.versions {
-		if v.GetNumber() == number {
-			return v, true
-		}
-	}
-	return nil, false
+	return m.history.version(number)
+}
+
+// Oldest returns the number of the oldest version kept.
+func (m *Machine) Oldest() uint64 {
+	return m.history.versions[0].GetNumber()
 }
 
-// Audits returns the audit trail, the oldest entry first.
-func (m *Machine) Audits() []*statev1.Audit {
-	return m.audits
+// Audits returns at most limit of the newest audit entries that concern versions of at least from, the oldest
+// entry first. A limit of zero means all.
+func (m *Machine) Audits(from uint64, limit int) []*statev1.Audit {
+	return m.trail.list(from, limit)
 }
 
-// Apply decides a patch. A resend with the same identity gets the first result.
+// Apply decides a patch. A resend with the same identity gets the first result; a dry patch changes nothing.
 func (m *Machine) Apply(p *statev1.Patch, now time.Time) *statev1.PatchResult {
-	if r, ok := m.results[p.GetId()]; ok {
-		return r
-	}
-	result, version := m.decide(p, now)
 	if p.GetDry() {
+		result, _, _ := m.decide(p, now)
 		return result
 	}
-	if result.GetVerdict() == statev1.Verdict_VERDICT_ACCEPTED {
-		m.versions = append(m.versions, version)
+	if first, ok := m.trail.first(p.GetId()); ok {
+		if proto.Equal(first.GetPatch(), p) {
+			return first.GetResult()
+		}
+		return m.audit(p, m.reused(p), now)
+	}
+	result, version, tree := m.decide(p, now)
+	if version != nil {
+		m.accept(version, tree)
 	}
-	m.results[p.GetId()] = result
-	m.audits = append(m.audits, &statev1.Audit{Time: timestamppb.New(now), Patch: p, Result: result})
+	return m.audit(p, result, now)
+}
+
+// Difference returns the merge patch between two kept versions; to is the newest version when it is zero.
+func (m *Machine) Difference(from, to uint64) ([]byte, error) {
+	if to == 0 {
+		to = m.Current().GetNumber()
+	}
+	a, ok := m.tree(from)
+	if !ok {
+		return nil, m.notKept(from)
+	}
+	b, ok := m.tree(to)
+	if !ok {
+		return nil, m.notKept(to)
+	}
+	return encode(difference(a, b))
+}
+
+func (m *Machine) audit(p *statev1.Patch, result *statev1.PatchResult, now time.Time) *statev1.PatchResult {
+	m.trail.add(&statev1.Audit{Time: timestamppb.New(now), Patch: p, Result: result})
 	return result
 }
 
-func (m *Machine) decide(p *statev1.Patch, now time.Time) (*statev1.PatchResult, *statev1.Version) {
+func (m *Machine) reused(p *statev1.Patch) *statev1.PatchResult {
+	return &statev1.PatchResult{
+		Id: p.GetId(), Verdict: statev1.Verdict_VERDICT_REUSED, Version: m.Current().GetNumber(),
+		Faults: []string{"the identity belongs to an earlier patch with another content; submit this one under a new identity"},
+	}
+}
+
+// accept appends a version. One patch makes one version, and versions only grow.
+func (m *Machine) accept(v *statev1.Version, tree map[string]any) {
+	if v.GetNumber() != m.Current().GetNumber()+1 {
+		panic(fmt.Sprintf("invariant versions_grow: version %d after %d", v.GetNumber(), m.Current().GetNumber()))
+	}
+	m.history.add(v, tree)
+}
+
+func (m *Machine) decide(p *statev1.Patch, now time.Time) (*statev1.PatchResult, *statev1.Version, map[string]any) {
 	current := m.Current()
 	result := &statev1.PatchResult{Id: p.GetId(), Version: current.GetNumber()}
 	if p.GetBase() != current.GetNumber() {
 		result.Verdict = statev1.Verdict_VERDICT_CONFLICT
-		if base, ok := m.Version(p.GetBase()); ok {
-			result.Difference = difference(base.GetDocument(), current.GetDocument())
+		if d, err := m.Difference(p.GetBase(), current.GetNumber()); err == nil {
+			result.Difference = d
 		}
-		return result, nil
+		return result, nil, nil
 	}
-	document, err := m.merge(p, current)
-	if err == nil {
-		_, err = Parse(document)
+	tree, document, err := m.merged(p)
+	if err != nil {
+		result.Verdict = statev1.Verdict_VERDICT_INVALID
+		result.Faults = texts(err)
+		return result, nil, nil
 	}
+	change, err := encode(difference(m.history.tree, tree))
 	if err != nil {
 		result.Verdict = statev1.Verdict_VERDICT_INVALID
 		result.Faults = texts(err)
-		return result, nil
+		return result, nil, nil
 	}
 	result.Verdict = statev1.Verdict_VERDICT_ACCEPTED
 	result.Version = current.GetNumber() + 1
-	result.Difference = difference(current.GetDocument(), document)
+	result.Difference = change
 	return result, &statev1.Version{
 		Number: result.GetVersion(), Time: timestamppb.New(now), Author: p.GetAuthor(), Reason: p.GetReason(),
-		Patch: p.GetId(), Document: document, Difference: result.GetDifference(),
+		Patch: p.GetId(), Document: document, Difference: change,
+	}, tree
+}
+
+// merged returns the document that a patch makes, checked whole.
+func (m *Machine) merged(p *statev1.Patch) (map[string]any, []byte, error) {
+	tree, err := m.change(p)
+	if err != nil {
+		return nil, nil, err
+	}
+	document, err := encode(tree)
+	if err != nil {
+		return nil, nil, err
 	}
+	if len(document) > maxDocument {
+		return nil, nil, oops.In("configurator").Errorf("the document would have %d bytes; at most %d are permitted", len(document), maxDocument)
+	}
+	if _, err := Parse(document); err != nil {
+		return nil, nil, err
+	}
+	return tree, document, nil
 }
 
-func (m *Machine) merge(p *statev1.Patch, current *statev1.Version) ([]byte, error) {
+func (m *Machine) change(p *statev1.Patch) (map[string]any, error) {
 	if p.GetRollback() != 0 {
-		v, ok := m.Version(p.GetRollback())
+		tree, ok := m.tree(p.GetRollback())
 		if !ok {
-			return nil, oops.In("configurator").Errorf("version %d is not kept", p.GetRollback())
+			return nil, m.notKept(p.GetRollback())
 		}
-		return v.GetDocument(), nil
+		return tree, nil
 	}
-	if !bytes.HasPrefix(bytes.TrimSpace(p.GetBody()), []byte("{")) {
-		return nil, oops.In("configurator").Errorf("a patch must be a JSON object")
+	if len(p.GetBody()) > maxBody {
+		return nil, oops.In("configurator").Errorf("the patch has %d bytes; at most %d are permitted", len(p.GetBody()), maxBody)
 	}
-	out, err := jsonpatch.MergePatch(current.GetDocument(), p.GetBody())
+	body, err := decode(p.GetBody())
 	if err != nil {
-		return nil, oops.In("configurator").Wrapf(err, "the patch cannot be merged")
+		return nil, oops.In("configurator").Wrapf(err, "the patch must be one JSON object")
 	}
-	return out, nil
+	return merge(m.history.tree, body), nil
 }
 
-// difference returns the merge patch between two documents; documents in the history are always valid JSON.
-func difference(from, to []byte) []byte {
-	out, err := jsonpatch.CreateMergePatch(from, to)
-	if err != nil {
-		return nil
+func (m *Machine) tree(number uint64) (map[string]any, bool) {
+	if number == m.Current().GetNumber() {
+		return m.history.tree, true
 	}
-	return out
+	if number < m.Oldest() || number > m.Current().GetNumber() {
+		return nil, false
+	}
+	return m.history.document(number - m.Oldest())
 }
 
+func (m *Machine) notKept(number uint64) error {
+	return oops.In("configurator").Errorf("version %d is not kept; versions %d to %d are", number, m.Oldest(), m.Current().GetNumber())
+}
+
+// texts returns the lines for the operator; faults beyond maxFaults are counted.
 func texts(err error) []string {
 	var faults checker.Faults
 	if !errors.As(err, &faults) {
@@ -128,6 +222,9 @@
 	}
 	out := make([]string, 0, len(faults))
 	for _, f := range faults {
+		if len(out) == maxFaults {
+			return append(out, fmt.Sprintf("and %d more faults", len(faults)-maxFaults))
+		}
 		out = append(out, f.Key+": "+f.Text)
 	}
 	return out
--- a/schema/gen/lycheelift/operator/v1/operatorv1connect/operator.connect.go
+++ b/schema/gen/lycheelift/operator/v1/operatorv1connect/operator.connect.go
@@ -40,6 +40,9 @@
 	OperatorServicePatchProcedure = "/lycheelift.operator.v1.OperatorService/Patch"
 	// OperatorServiceShowProcedure is the fully-qualified name of the OperatorService's Show RPC.
 	OperatorServiceShowProcedure = "/lycheelift.operator.v1.OperatorService/Show"
+	// OperatorServiceDifferenceProcedure is the fully-qualified name of the OperatorService's
+	// Difference RPC.
+	OperatorServiceDifferenceProcedure = "/lycheelift.operator.v1.OperatorService/Difference"
 	// OperatorServiceHistoryProcedure is the fully-qualified name of the OperatorService's History RPC.
 	OperatorServiceHistoryProcedure = "/lycheelift.operator.v1.OperatorService/History"
 	// OperatorServiceStatusProcedure is the fully-qualified name of the OperatorService's Status RPC.
@@ -60,6 +63,8 @@
 	Patch(context.Context, *v1.PatchRequest) (*v1.PatchResponse, error)
 	// Show returns one version; linearizable when the number is zero.
 	Show(context.Context, *v1.ShowRequest) (*v1.ShowResponse, error)
+	// Difference returns the merge patch between two versions.
+	Difference(context.Context, *v1.DifferenceRequest) (*v1.DifferenceResponse, error)
 	// History returns accepted versions and the audit trail.
 	History(context.Context, *v1.HistoryRequest) (*v1.HistoryResponse, error)
 	// Status returns hosts, versions in force and control members.
@@ -93,6 +98,12 @@
 			connect.WithSchema(operatorServiceMethods.ByName("Show")),
 			connect.WithClientOptions(opts...),
 		),
+		difference: connect.NewClient[v1.DifferenceRequest, v1.DifferenceResponse](
+			httpClient,
+			baseURL+OperatorServiceDifferenceProcedure,
+			connect.WithSchema(operatorServiceMethods.ByName("Difference")),
+			connect.WithClientOptions(opts...),
+		),
 		history: connect.NewClient[v1.HistoryRequest, v1.HistoryResponse](
 			httpClient,
 			baseURL+OperatorServiceHistoryProcedure,
@@ -122,12 +133,13 @@
 
 // operatorServiceClient implements OperatorServiceClient.
 type operatorServiceClient struct {
-	patch   *connect.Client[v1.PatchRequest, v1.PatchResponse]
-	show    *connect.Client[v1.ShowRequest, v1.ShowResponse]
-	history *connect.Client[v1.HistoryRequest, v1.HistoryResponse]
-	status  *connect.Client[v1.StatusRequest, v1.StatusResponse]
-	answers *connect.Client[v1.AnswersRequest, v1.AnswersResponse]
-	member  *connect.Client[v1.MemberRequest, v1.MemberResponse]
+	patch      *connect.Client[v1.PatchRequest, v1.PatchResponse]
+	show       *connect.Client[v1.ShowRequest, v1.ShowResponse]
+	difference *connect.Client[v1.DifferenceRequest, v1.DifferenceResponse]
+	history    *connect.Client[v1.HistoryRequest, v1.HistoryResponse]
+	status     *connect.Client[v1.StatusRequest, v1.StatusResponse]
+	answers    *connect.Client[v1.AnswersRequest, v1.AnswersResponse]
+	member     *connect.Client[v1.MemberRequest, v1.MemberResponse]
 }
 
 // Patch calls lycheelift.operator.v1.OperatorService.Patch.
@@ -148,6 +160,15 @@
 	return nil, err
 }
 
+// Difference calls lycheelift.operator.v1.OperatorService.Difference.
+func (c *operatorServiceClient) Difference(ctx context.Context, req *v1.DifferenceRequest) (*v1.DifferenceResponse, error) {
+	response, err := c.difference.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // History calls lycheelift.operator.v1.OperatorService.History.
 func (c *operatorServiceClient) History(ctx context.Context, req *v1.HistoryRequest) (*v1.HistoryResponse, error) {
 	response, err := c.history.CallUnary(ctx, connect.NewRequest(req))
@@ -191,6 +212,8 @@
 	Patch(context.Context, *v1.PatchRequest) (*v1.PatchResponse, error)
 	// Show returns one version; linearizable when the number is zero.
 	Show(context.Context, *v1.ShowRequest) (*v1.ShowResponse, error)
+	// Difference returns the merge patch between two versions.
+	Difference(context.Context, *v1.DifferenceRequest) (*v1.DifferenceResponse, error)
 	// History returns accepted versions and the audit trail.
 	History(context.Context, *v1.HistoryRequest) (*v1.HistoryResponse, error)
 	// Status returns hosts, versions in force and control members.
@@ -220,6 +243,12 @@
 		connect.WithSchema(operatorServiceMethods.ByName("Show")),
 		connect.WithHandlerOptions(opts...),
 	)
+	operatorServiceDifferenceHandler := connect.NewUnaryHandlerSimple(
+		OperatorServiceDifferenceProcedure,
+		svc.Difference,
+		connect.WithSchema(operatorServiceMethods.ByName("Difference")),
+		connect.WithHandlerOptions(opts...),
+	)
 	operatorServiceHistoryHandler := connect.NewUnaryHandlerSimple(
 		OperatorServiceHistoryProcedure,
 		svc.History,
@@ -250,6 +279,8 @@
 			operatorServicePatchHandler.ServeHTTP(w, r)
 		case OperatorServiceShowProcedure:
 			operatorServiceShowHandler.ServeHTTP(w, r)
+		case OperatorServiceDifferenceProcedure:
+			operatorServiceDifferenceHandler.ServeHTTP(w, r)
 		case OperatorServiceHistoryProcedure:
 			operatorServiceHistoryHandler.ServeHTTP(w, r)
 		case OperatorServiceStatusProcedure:
@@ -275,6 +306,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lycheelift.operator.v1.OperatorService.Show is not implemented"))
 }
 
+func (UnimplementedOperatorServiceHandler) Difference(context.Context, *v1.DifferenceRequest) (*v1.DifferenceResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lycheelift.operator.v1.OperatorService.Difference is not implemented"))
+}
+
 func (UnimplementedOperatorServiceHandler) History(context.Context, *v1.HistoryRequest) (*v1.HistoryResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lycheelift.operator.v1.OperatorService.History is not implemented"))
 }
--- a/schema/gen/settings/configuration/configuration.go
+++ b/schema/gen/settings/configuration/configuration.go
@@ -43,6 +43,9 @@
 	// Data centres by name.
 	Centers ConfigurationCenters `json:"centers,omitempty,omitzero"`
 
+	// Control hosts by name.
+	Control ConfigurationControl `json:"control,omitempty,omitzero"`
+
 	// Entry hosts by name.
 	Hosts ConfigurationHosts `json:"hosts,omitempty,omitzero"`
 
@@ -53,12 +56,56 @@
 // Data centres by name.
 type ConfigurationCenters map[string]Center
 
+// Control hosts by name.
+type ConfigurationControl map[string]Controller
+
 // Entry hosts by name.
 type ConfigurationHosts map[string]Host
 
 // Query services by name.
 type ConfigurationServices map[string]Service
 
+type Controller struct {
+	// Peer IP address and port.
+	Address string `json:"address"`
+
+	// Data centre of the control host.
+	Center string `json:"center"`
+
+	// IP address and port for operators.
+	Operators string `json:"operators"`
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (j *Controller) UnmarshalJSON(value []byte) error {
+	var raw map[string]interface{}
+	if err := json.Unmarshal(value, &raw); err != nil {
+		return err
+	}
+	if _, ok := raw["address"]; raw != nil && !ok {
+		return fmt.Errorf("field address in Controller: required")
+	}
+	if _, ok := raw["center"]; raw != nil && !ok {
+		return fmt.Errorf("field center in Controller: required")
+	}
+	if _, ok := raw["operators"]; raw != nil && !ok {
+		return fmt.Errorf("field operators in Controller: required")
+	}
+	type Plain Controller
+	var plain Plain
+	if err := json.Unmarshal(value, &plain); err != nil {
+		return err
+	}
+	if matched, _ := regexp.MatchString(`^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$`, string(plain.Address)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "Address", `^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$`)
+	}
+	if matched, _ := regexp.MatchString(`^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$`, string(plain.Operators)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "Operators", `^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$`)
+	}
+	*j = Controller(plain)
+	return nil
+}
+
 type Host struct {
 	// Peer IP address and port.
 	Address string `json:"address"`
