Combine configuration and ledger into one replicated state machine

Cause: control hosts kept the configuration in a variable of the server, and the ledger had no place in the replicated log.

Time comes from the leader's stamp and never goes back.

--- /dev/null
+++ b/controld/keeper/keeper.go
@@ -0,0 +1,104 @@
+// Package keeper serves entry hosts: the at-most-once ledger and the newest configuration (gRPC).
+package keeper
+
+import (
+	"context"
+	"errors"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"lycheelift.example/controld/store"
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+// maxName bounds tenants, keys and attempts, in bytes; entry hosts check the same bound on callers' requests.
+const maxName = 256
+
+// maxHosts bounds the reports in one request.
+const maxHosts = 4096
+
+// Store decides and reads the replicated state.
+type Store interface {
+	Begin(ctx context.Context, b *statev1.Begin) (*statev1.BeginResult, error)
+	Finish(ctx context.Context, f *statev1.Finish) (*statev1.FinishResult, error)
+	Fetch(version uint64, hosts []*statev1.InForce) *statev1.Version
+}
+
+// Keeper serves the control service. Record belongs to the record of answers.
+type Keeper struct {
+	peerv1.UnimplementedControlServiceServer
+
+	store Store
+}
+
+// New returns the service over a store.
+func New(s Store) *Keeper {
+	return &Keeper{store: s}
+}
+
+// Begin commits the intent to run a non-idempotent request. A response with REASON_NO_QUORUM says that the intent
+// is certainly not committed; an error leaves that open, and the sender resends the same attempt.
+func (k *Keeper) Begin(ctx context.Context, in *peerv1.BeginRequest) (*peerv1.BeginResponse, error) {
+	b := in.GetBegin()
+	if !named(b.GetKey(), b.GetAttempt()) || len(b.GetTenant()) > maxName || b.GetIssued() == nil || !b.GetIssued().IsValid() {
+		return nil, malformed("a begin needs a key, an attempt and an issue time; names have at most %d bytes", maxName)
+	}
+	result, err := k.store.Begin(ctx, b)
+	switch {
+	case errors.Is(err, store.ErrNotProposed):
+		return &peerv1.BeginResponse{Reason: callerv1.Reason_REASON_NO_QUORUM}, nil
+	case err != nil:
+		return nil, unknown(err)
+	}
+	return &peerv1.BeginResponse{Entry: result.GetEntry(), Run: result.GetRun(), Reason: result.GetReason()}, nil
+}
+
+// Finish commits the outcome of an attempt. After an error the sender sends it again.
+func (k *Keeper) Finish(ctx context.Context, in *peerv1.FinishRequest) (*peerv1.FinishResponse, error) {
+	f := in.GetFinish()
+	if !named(f.GetKey(), f.GetAttempt()) || len(f.GetTenant()) > maxName {
+		return nil, malformed("a finish needs a key and an attempt; names have at most %d bytes", maxName)
+	}
+	if _, err := k.store.Finish(ctx, f); err != nil {
+		return nil, unknown(err)
+	}
+	return &peerv1.FinishResponse{}, nil
+}
+
+// Fetch returns the newest version and keeps the reports of versions in force.
+func (k *Keeper) Fetch(_ context.Context, in *peerv1.FetchRequest) (*peerv1.FetchResponse, error) {
+	if len(in.GetHosts()) > maxHosts {
+		return nil, malformed("a fetch carries at most %d reports", maxHosts)
+	}
+	for _, h := range in.GetHosts() {
+		if !named(h.GetHost()) {
+			return nil, malformed("a report needs a host name of at most %d bytes", maxName)
+		}
+	}
+	return &peerv1.FetchResponse{Version: k.store.Fetch(in.GetVersion(), in.GetHosts())}, nil
+}
+
+func named(names ...string) bool {
+	for _, n := range names {
+		if n == "" || len(n) > maxName {
+			return false
+		}
+	}
+	return true
+}
+
+func malformed(format string, bound int) error {
+	return status.Error(codes.InvalidArgument, oops.Errorf(format, bound).Error())
+}
+
+// unknown tells the sender that the command may have been committed.
+func unknown(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return status.Error(codes.DeadlineExceeded, err.Error())
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
--- a/controld/server/server.go
+++ b/controld/server/server.go
@@ -10,8 +10,9 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 
+	"lycheelift.example/controld/keeper"
 	"lycheelift.example/controld/operator"
-	"lycheelift.example/lib/configurator"
+	"lycheelift.example/controld/store"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
@@ -24,12 +25,13 @@
 
 // Run serves a control host until ctx ends.
 func Run(ctx context.Context, s settings.Control, clock func() time.Time) error {
-	st := &store{clock: clock, machine: configurator.New()}
+	machine := store.NewMachine()
+	st := store.New(machine, store.NewLocal(machine, clock), clock)
 	mux := http.NewServeMux()
-	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(st)))
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(st, single{s}, clock)))
 	operators := transporter.Server(mux)
 	peers := grpc.NewServer()
-	peerv1.RegisterControlServiceServer(peers, st)
+	peerv1.RegisterControlServiceServer(peers, keeper.New(st))
 	operatorListener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Operators)
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen for operators")
--- /dev/null
+++ b/controld/store/fetch.go
@@ -0,0 +1,101 @@
+package store
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"lycheelift.example/lib/configurator"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+const (
+	// reportAge is the time for which a report counts; a cell pulls at least every 5 s.
+	reportAge = 30 * time.Second
+	// maxReports bounds the reports kept; the configuration permits 4,096 hosts.
+	maxReports = 8192
+)
+
+// Fetch returns the newest version that the local state knows, or none when the sender has it already, and keeps
+// the sender's reports of versions in force. It works without a majority.
+func (s *Store) Fetch(version uint64, hosts []*statev1.InForce) *statev1.Version {
+	s.reports.put(hosts, s.clock())
+	v, _ := s.local(0)
+	if v.GetNumber() <= version {
+		return nil
+	}
+	return v
+}
+
+// InForce returns the newest version that the local state knows, the reports that have reached this control host lately, sorted by host, and the hosts of the
+// newest version that have not reported it.
+func (s *Store) InForce() (version uint64, reports []*statev1.InForce, late []string, err error) {
+	newest, _ := s.local(0)
+	hosts, err := hostNames(newest)
+	if err != nil {
+		return 0, nil, nil, err
+	}
+	reports = s.reports.list(s.clock())
+	current := make(map[string]bool)
+	for _, r := range reports {
+		current[r.GetHost()] = r.GetVersion() >= newest.GetNumber()
+	}
+	for _, name := range hosts {
+		if !current[name] {
+			late = append(late, name)
+		}
+	}
+	return newest.GetNumber(), reports, late, nil
+}
+
+// reports is soft state: it is lost on a restart and filled again by the next fetches.
+type reports struct {
+	mu    sync.Mutex
+	hosts map[string]report
+}
+
+type report struct {
+	inForce *statev1.InForce
+	heard   time.Time
+}
+
+func newReports() *reports {
+	return &reports{hosts: make(map[string]report)}
+}
+
+// put keeps the report with the higher version of each host, because reports can overtake each other.
+func (r *reports) put(hosts []*statev1.InForce, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range hosts {
+		old, ok := r.hosts[h.GetHost()]
+		if !ok && len(r.hosts) >= maxReports {
+			continue
+		}
+		if ok && old.inForce.GetVersion() > h.GetVersion() && now.Sub(old.heard) < reportAge {
+			continue
+		}
+		r.hosts[h.GetHost()] = report{inForce: h, heard: now}
+	}
+}
+
+func (r *reports) list(now time.Time) []*statev1.InForce {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.hosts, func(_ string, v report) bool { return now.Sub(v.heard) >= reportAge })
+	out := make([]*statev1.InForce, 0, len(r.hosts))
+	for _, name := range slices.SortedFunc(maps.Keys(r.hosts), strings.Compare) {
+		out = append(out, r.hosts[name].inForce)
+	}
+	return out
+}
+
+func hostNames(v *statev1.Version) ([]string, error) {
+	document, err := configurator.Parse(v.GetDocument())
+	if err != nil {
+		return nil, err
+	}
+	return slices.SortedFunc(maps.Keys(document.Hosts), strings.Compare), nil
+}
--- /dev/null
+++ b/controld/store/machine.go
@@ -0,0 +1,126 @@
+// Package store is the replicated state of control: the configuration and the at-most-once ledger.
+package store
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"lycheelift.example/lib/configurator"
+	"lycheelift.example/lib/registrar"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+// Machine is the state machine that the replicated log runs. Commands are applied one after the other; reads may
+// run at any time.
+type Machine struct {
+	mu            sync.RWMutex
+	configuration *configurator.Machine
+	ledger        *registrar.Ledger
+	members       *statev1.Members
+	time          time.Time
+}
+
+// MachineOption changes a machine.
+type MachineOption func(*Machine)
+
+// WithConfiguration sets the configuration's state machine.
+func WithConfiguration(c *configurator.Machine) MachineOption {
+	return func(m *Machine) { m.configuration = c }
+}
+
+// WithLedger sets the at-most-once ledger.
+func WithLedger(l *registrar.Ledger) MachineOption {
+	return func(m *Machine) { m.ledger = l }
+}
+
+// NewMachine returns a machine with an empty configuration and an empty ledger.
+func NewMachine(options ...MachineOption) *Machine {
+	m := &Machine{configuration: configurator.New(), ledger: registrar.New()}
+	for _, o := range options {
+		o(m)
+	}
+	return m
+}
+
+// Apply decides one command of the log. It is a function of the state and the command alone: the only time it
+// knows is the one that the leader stamped on the command.
+func (m *Machine) Apply(_ uint64, command *statev1.Command) *statev1.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.advance(command)
+	switch kind := command.GetKind().(type) {
+	case *statev1.Command_Patch:
+		return &statev1.Result{Kind: &statev1.Result_Patch{Patch: m.configuration.Apply(kind.Patch, now)}}
+	case *statev1.Command_Begin:
+		return &statev1.Result{Kind: &statev1.Result_Begin{Begin: m.ledger.Begin(kind.Begin, now)}}
+	case *statev1.Command_Finish:
+		return &statev1.Result{Kind: &statev1.Result_Finish{Finish: m.ledger.Finish(kind.Finish, now)}}
+	case *statev1.Command_Members:
+		m.members = kind.Members
+		return &statev1.Result{Kind: &statev1.Result_Members{Members: m.members}}
+	case nil:
+		return &statev1.Result{}
+	default:
+		return &statev1.Result{Kind: &statev1.Result_Failure{Failure: &statev1.Failure{Text: "this host does not know the command; it runs an older program"}}}
+	}
+}
+
+// advance moves the state's time forward. A stamp that lies before it, such as from a new leader whose clock is
+// behind, does not move it back: an expired key must not become valid again.
+func (m *Machine) advance(command *statev1.Command) time.Time {
+	if t := command.GetTime(); t.IsValid() && t.AsTime().After(m.time) {
+		m.time = t.AsTime()
+	}
+	return m.time
+}
+
+// Stamp sets the command's time as the leader does before it appends the command: its clock, or the time of the
+// state when that is later.
+func (m *Machine) Stamp(command *statev1.Command, now time.Time) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if now.Before(m.time) {
+		now = m.time
+	}
+	command.Time = timestamppb.New(now)
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	state := &statev1.State{Members: m.members}
+	if !m.time.IsZero() {
+		state.Time = timestamppb.New(m.time)
+	}
+	m.configuration.Save(state)
+	m.ledger.Save(state)
+	out, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	return out, oops.In("store").Wrapf(err, "encode the snapshot")
+}
+
+// Restore replaces the whole state. After an error the machine must not be used.
+func (m *Machine) Restore(data []byte) error {
+	state := &statev1.State{}
+	if err := proto.Unmarshal(data, state); err != nil {
+		return oops.In("store").Wrapf(err, "decode the snapshot")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.configuration.Load(state); err != nil {
+		return oops.In("store").Wrapf(err, "restore the configuration")
+	}
+	if err := m.ledger.Load(state); err != nil {
+		return oops.In("store").Wrapf(err, "restore the ledger")
+	}
+	m.members = state.GetMembers()
+	m.time = time.Time{}
+	if t := state.GetTime(); t != nil {
+		m.time = state.GetTime().AsTime()
+	}
+	return nil
+}
