--- a/controld/server/server.go
+++ b/controld/server/server.go
@@ -13,8 +13,10 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 
+	"lycheelift.example/controld/keeper"
 	"lycheelift.example/controld/operator"
 	"lycheelift.example/controld/replica"
+	"lycheelift.example/controld/store"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
@@ -35,20 +37,19 @@
 
 // Run serves a control host until ctx ends.
 func Run(ctx context.Context, s settings.Control, clock func() time.Time) error {
-	state := newAdapter()
+	machine := store.NewMachine()
 	config, err := configure(s, clock)
 	if err != nil {
 		return err
 	}
-	log, err := replica.Open(config, filepath.Join(s.Data, logFolder), state)
+	r, err := replica.Open(config, filepath.Join(s.Data, logFolder), machine)
 	if err != nil {
 		return err
 	}
-	state.log = log
 	running, stopLog := context.WithCancel(context.Background())
 	logged := make(chan error, 1)
-	go func() { logged <- log.Run(running) }()
-	err = serve(ctx, s, clock, log, state)
+	go func() { logged <- r.Run(running) }()
+	err = serve(ctx, s, clock, r, store.New(machine, log{r}, clock))
 	stopLog()
 	return errors.Join(err, <-logged)
 }
@@ -83,13 +84,13 @@
 	return h.Sum64() ^ uint64(now.UnixNano())
 }
 
-func serve(ctx context.Context, s settings.Control, clock func() time.Time, log *replica.Replica, state *adapter) error {
+func serve(ctx context.Context, s settings.Control, clock func() time.Time, r *replica.Replica, state *store.Store) error {
 	mux := http.NewServeMux()
-	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(state)))
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(state, group{r}, clock)))
 	operators := transporter.Server(mux)
 	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
-	peerv1.RegisterControlServiceServer(peers, state)
-	peerv1.RegisterReplicaServiceServer(peers, log.Service())
+	peerv1.RegisterControlServiceServer(peers, keeper.New(state))
+	peerv1.RegisterReplicaServiceServer(peers, r.Service())
 	operatorListener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Operators)
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen for operators")
@@ -108,17 +109,17 @@
 	case <-ctx.Done():
 	}
 	eventer.Draining.Log(clock(), "host", s.Name)
-	err = stop(operators, peers, log)
+	err = stop(operators, peers, r)
 	eventer.Stopped.Log(clock(), "host", s.Name)
 	return oops.In("server").Wrapf(err, "stop")
 }
 
 // stop passes the lead on, so that the group need not wait for an election, and ends requests in progress.
-func stop(operators *http.Server, peers *grpc.Server, log *replica.Replica) error {
+func stop(operators *http.Server, peers *grpc.Server, r *replica.Replica) error {
 	yield, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	// Without a successor the group elects a leader by itself.
-	_ = log.HandOver(yield)
+	_ = r.HandOver(yield)
 	ending, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err := operators.Shutdown(ending)
