Call leaves only under a lease, within slots, allowance and connections

Cause: the executor called any leaf it was asked to, over a shared transport. Leases are released in the drain. The demo waits 4 s instead of 2 s, because granters that have just learned of their cell grant nothing for one term.

--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// settle is the time in which a version and the announcements reach every host.
-	settle = 2 * time.Second
+	// settle is the time in which a version and the announcements reach every host and the leaves get owners:
+	// granters that have just learned of their cell grant nothing for one lease term of 2 s.
+	settle = 4 * time.Second
 	// rate is the load of the demo, in queries a second.
 	rate = 150
 	// phase is the length of each phase of load.
--- a/entryd/peerer/dialer.go
+++ b/entryd/peerer/dialer.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -20,6 +21,10 @@
 	keepaliveTime = 10 * time.Second
 	// keepaliveAnswer is the time in which the probe must be answered.
 	keepaliveAnswer = time.Second
+	// reconnectLeast and reconnectMost bound the wait before a lost connection is tried again; a host that is back
+	// must be found within a lease term.
+	reconnectLeast = 50 * time.Millisecond
+	reconnectMost  = 500 * time.Millisecond
 	// forwardTimeout bounds the passing on of an announcement.
 	forwardTimeout = 300 * time.Millisecond
 )
@@ -56,6 +61,10 @@
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectLeast, Multiplier: 2, Jitter: 0.2, MaxDelay: reconnectMost},
+			MinConnectTimeout: time.Second,
+		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveAnswer}))
 	if err != nil {
 		return nil, oops.In("peerer").Wrapf(err, "connect to %s", address)
--- a/entryd/peerer/peerer.go
+++ b/entryd/peerer/peerer.go
@@ -22,19 +22,25 @@
 	Execute(ctx context.Context, call *peerv1.Call) *peerv1.CallResult
 }
 
+// Granter answers requests for leases.
+type Granter interface {
+	Lease(ctx context.Context, in *peerv1.LeaseRequest) (*peerv1.LeaseResponse, error)
+}
+
 // Peerer serves calls of other hosts.
 type Peerer struct {
 	peerv1.UnimplementedPeerServiceServer
 
 	execute Executor
+	grant   Granter
 	table   *cataloguer.Table
 	follow  *follower.Follower
 	clock   func() time.Time
 }
 
 // New returns the service.
-func New(execute Executor, table *cataloguer.Table, follow *follower.Follower, clock func() time.Time) *Peerer {
-	return &Peerer{execute: execute, table: table, follow: follow, clock: clock}
+func New(execute Executor, grant Granter, table *cataloguer.Table, follow *follower.Follower, clock func() time.Time) *Peerer {
+	return &Peerer{execute: execute, grant: grant, table: table, follow: follow, clock: clock}
 }
 
 // Channel runs the calls that arrive on a stream and sends back their results as they end.
@@ -60,6 +66,11 @@
 	}
 }
 
+// Lease passes a request for leases to the granter.
+func (p *Peerer) Lease(ctx context.Context, in *peerv1.LeaseRequest) (*peerv1.LeaseResponse, error) {
+	return p.grant.Lease(ctx, in)
+}
+
 // Forward stores announcements that another host received.
 func (p *Peerer) Forward(_ context.Context, in *peerv1.ForwardRequest) (*peerv1.ForwardResponse, error) {
 	for _, a := range in.GetAnnouncements() {
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -17,6 +17,7 @@
 	"lycheelift.example/entryd/dispatcher"
 	"lycheelift.example/entryd/executor"
 	"lycheelift.example/entryd/follower"
+	"lycheelift.example/entryd/holder"
 	"lycheelift.example/entryd/peerer"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/eventer"
@@ -41,6 +42,8 @@
 	follow   *follower.Follower
 	dial     *peerer.Dialer
 	dispatch *dispatcher.Dispatcher
+	execute  *executor.Executor
+	hold     *holder.Holder
 	callers  *http.Server
 	peers    *grpc.Server
 }
@@ -53,8 +56,11 @@
 	}
 	out := &Server{settings: s, clock: clock, export: exporter.New("lycheelift_entry"), follow: follower.New(clock())}
 	table := cataloguer.New(clock())
-	execute := executor.New(table, clock)
 	out.dial = peerer.NewDialer(s.Name, out.follow)
+	execute := executor.New(s.Name, s.Center, table, out.follow, clock, executor.WithScope(out.export.Scope))
+	out.execute = execute
+	out.hold = holder.New(s.Name, out.dial, table, out.follow, clock, holder.WithActive(execute.Active), holder.WithChanged(execute.Changed))
+	execute.Bind(out.hold)
 	mismatched := out.export.Scope.Counter("replies_mismatched")
 	out.dispatch = dispatcher.New(s.Name, execute, out.dial, dispatcher.WithMismatch(func(r *peerv1.CallResult) {
 		mismatched.Inc(1)
@@ -69,7 +75,7 @@
 	mux.HandleFunc("GET /ready", out.serveReady)
 	out.callers = transporter.Server(mux)
 	out.peers = grpc.NewServer()
-	peerv1.RegisterPeerServiceServer(out.peers, peerer.New(execute, table, out.follow, clock))
+	peerv1.RegisterPeerServiceServer(out.peers, peerer.New(execute, out.hold, table, out.follow, clock))
 	return out, nil
 }
 
@@ -98,6 +104,8 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	go s.follow.Poll(background, s.settings.Control, s.dial, s.clock)
+	go s.hold.Run(background)
+	go s.execute.Run(background)
 	s.ready.Store(true)
 	eventer.Started.Log(s.clock(), "host", s.settings.Name, "callers", callers.Addr().String(), "peers", peers.Addr().String())
 	select {
@@ -121,7 +129,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err = s.callers.Shutdown(ctx)
+	if err := s.hold.Release(ctx); err != nil {
+		eventer.LeaseUnheld.Log(s.clock(), "error", err.Error())
+	}
 	s.dispatch.Close()
+	s.execute.Close()
 	s.dial.Close()
 	s.peers.Stop()
 	if err := s.export.Close(); err != nil {
--- /dev/null
+++ b/lib/cataloguer/known.go
@@ -0,0 +1,30 @@
+package cataloguer
+
+import "time"
+
+// All returns every leaf whose announcement holds, in any state.
+func (t *Table) All(now time.Time) []*Leaf {
+	var out []*Leaf
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.RLock()
+		for _, leaves := range s.services {
+			for _, l := range leaves {
+				if now.Sub(l.Heard) < Lease {
+					out = append(out, l)
+				}
+			}
+		}
+		s.RUnlock()
+	}
+	return out
+}
+
+// Known returns a leaf as last announced, whether or not it may receive work.
+func (t *Table) Known(service, leaf string) (*Leaf, bool) {
+	s := t.shard(service)
+	s.RLock()
+	defer s.RUnlock()
+	l, ok := s.services[service][leaf]
+	return l, ok
+}
