--- a/lib/cataloguer/snapshot.go
+++ b/lib/cataloguer/snapshot.go
@@ -67,17 +67,5 @@
 // Pin chooses the newest complete snapshot above a number, else the one with most shards held.
 // It returns nil when no leaf is live.
 func (t *Table) Pin(service string, above uint64, now time.Time) *Snapshot {
-	var best *Snapshot
-	for _, s := range t.Snapshots(service, now) {
-		if s.Number <= above {
-			continue
-		}
-		if s.Complete() {
-			return s
-		}
-		if best == nil || s.Held() > best.Held() {
-			best = s
-		}
-	}
-	return best
+	return Newest(t.Snapshots(service, now), above)
 }
--- /dev/null
+++ b/lib/planner/fake_test.go
@@ -0,0 +1,286 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/planner"
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+)
+
+// epoch is the time at which every simulated query arrives.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fate is what the fake does with a call.
+type fate int
+
+const (
+	good fate = iota
+	slow
+	lost          // the leaf runs the call and the result never arrives
+	vanished      // neither the call nor a result arrives
+	late          // the result arrives after the deadline
+	duplicated    // the result arrives twice
+	crossedShard  // the result carries another shard
+	crossedQuery  // the result carries the identity of another query's call
+	wrongSnapshot // the leaf answers from another snapshot
+	unsent        // the owner could not send the call
+	notOwner      // the host is not the owner and names another
+	shed          // the leaf refuses for lack of capacity
+	failing       // the leaf ran the call and reports an error
+	broken        // the connection broke while the call ran
+	crash         // the leaf crashes
+)
+
+// delivery is an event on its way to the planner.
+type delivery struct {
+	at    time.Time
+	order int
+	event planner.Event
+}
+
+// record is what the fake knows of a call.
+type record struct {
+	call      planner.Call
+	received  bool
+	known     bool // a definite result was handed to the planner while the call was open
+	delivered bool // a matching good result was handed to the planner
+}
+
+// fake plays the world, the leaves and the network of one query.
+type fake struct {
+	random  *rand.Rand
+	shards  map[uint64]int
+	leaves  map[uint64][][]*cataloguer.Leaf
+	switchy time.Duration // after this time leaves no longer hold snapshot 1; zero means never
+	trigger time.Duration
+	hedges  int // budget; spent counts down
+	retries int
+	fates   func() fate
+
+	now      time.Time
+	queue    []delivery
+	order    int
+	timer    time.Time
+	records  []*record
+	replies  []*planner.Reply
+	finished time.Time
+	drops    int
+	dropped  []planner.Action
+	suspects []planner.Call
+	clears   int
+	hedged   int
+	retried  int
+	primary  int
+	cancels  int
+	latency  func() time.Duration
+}
+
+func newFake(seed uint64, shards, replicas int) *fake {
+	f := &fake{
+		random: rand.New(rand.NewPCG(seed, 2)), shards: map[uint64]int{1: shards}, leaves: map[uint64][][]*cataloguer.Leaf{},
+		now: epoch, fates: func() fate { return good }, hedges: 100, retries: 100, trigger: 5 * time.Millisecond,
+	}
+	f.latency = func() time.Duration { return time.Duration(1+f.random.IntN(4)) * time.Millisecond }
+	f.hold(1, shards, replicas)
+	return f
+}
+
+// hold gives each shard of a snapshot its replicas; the leaves are the same ones in every snapshot.
+func (f *fake) hold(snapshot uint64, shards, replicas int) {
+	f.shards[snapshot] = shards
+	f.leaves[snapshot] = make([][]*cataloguer.Leaf, shards)
+	for s := range shards {
+		for r := range replicas {
+			f.leaves[snapshot][s] = append(f.leaves[snapshot][s], &cataloguer.Leaf{Name: fmt.Sprintf("leaf-%d-%d", s, r)})
+		}
+	}
+}
+
+func (f *fake) holds(snapshot uint64) bool {
+	switched := f.switchy > 0 && !f.now.Before(epoch.Add(f.switchy))
+	return (snapshot == 1) != switched
+}
+
+// Pin returns the snapshot that the leaves hold now.
+func (f *fake) Pin(above uint64, _ time.Time) (*cataloguer.Snapshot, planner.Reason) {
+	for _, n := range []uint64{2, 1} {
+		if n > above && f.leaves[n] != nil && f.holds(n) {
+			return &cataloguer.Snapshot{Number: n, Shards: uint32(f.shards[n]), Holders: f.leaves[n]}, 0
+		}
+	}
+	return nil, callerv1.Reason_REASON_NO_REPLICA
+}
+
+// Choose takes a random replica that was not tried.
+func (f *fake) Choose(_ uint32, holders []*cataloguer.Leaf, tried []string, _ time.Time) (planner.Target, bool) {
+	var free []*cataloguer.Leaf
+	for _, l := range holders {
+		if !slices.Contains(tried, l.Name) {
+			free = append(free, l)
+		}
+	}
+	if len(free) == 0 {
+		return planner.Target{}, false
+	}
+	return planner.Target{Leaf: free[f.random.IntN(len(free))], Owner: "host"}, true
+}
+
+func (f *fake) Trigger() time.Duration { return f.trigger }
+func (f *fake) Primary(n int)          { f.primary += n }
+
+func (f *fake) Hedge() bool {
+	if f.hedged >= f.hedges {
+		return false
+	}
+	f.hedged++
+	return true
+}
+
+func (f *fake) Retry() bool {
+	if f.retried >= f.retries {
+		return false
+	}
+	f.retried++
+	return true
+}
+
+// run plays a query until nothing is left to deliver, also after its reply.
+func (f *fake) run(q planner.Query, options ...planner.Option) *planner.Reply {
+	q.Identity, q.Received = "host/1/7", epoch
+	if q.Deadline.IsZero() {
+		q.Deadline = epoch.Add(100 * time.Millisecond)
+	}
+	p := planner.New(q, f, options...)
+	f.apply(p.Step(planner.Event{Kind: planner.Start}, f.now))
+	for {
+		next, ok := f.next()
+		if !ok {
+			break
+		}
+		f.apply(p.Step(next, f.now))
+	}
+	if len(f.replies) == 0 {
+		return nil
+	}
+	return f.replies[0]
+}
+
+// next takes the earliest delivery or the timer.
+func (f *fake) next() (planner.Event, bool) {
+	slices.SortFunc(f.queue, func(a, b delivery) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return a.order - b.order
+	})
+	if len(f.replies) == 0 && (len(f.queue) == 0 || f.timer.Before(f.queue[0].at)) {
+		f.now = f.timer
+		return planner.Event{Kind: planner.Elapsed}, true
+	}
+	if len(f.queue) == 0 {
+		return planner.Event{}, false
+	}
+	d := f.queue[0]
+	f.queue = f.queue[1:]
+	f.now = d.at
+	return d.event, true
+}
+
+func (f *fake) apply(actions []planner.Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case planner.Send:
+			f.send(a.Call)
+		case planner.SetTimer:
+			f.timer = a.At
+		case planner.Drop:
+			f.drops++
+			f.dropped = append(f.dropped, a)
+		case planner.Suspect:
+			f.suspects = append(f.suspects, a.Call)
+			f.deliver(3*time.Millisecond, planner.Event{Kind: planner.Reported})
+		case planner.Clear:
+			f.clears++
+		case planner.Finish:
+			f.replies = append(f.replies, a.Reply)
+			f.finished = f.now
+		case planner.Cancel:
+			f.cancels++
+		case planner.Ended:
+			f.ended(a)
+		}
+	}
+}
+
+func (f *fake) ended(a planner.Action) {
+	for _, r := range f.records {
+		if r.call.Attempt == a.Result.Attempt {
+			r.known = true
+			r.delivered = a.Result.Reason == 0
+		}
+	}
+}
+
+func (f *fake) deliver(after time.Duration, e planner.Event) {
+	f.order++
+	f.queue = append(f.queue, delivery{at: f.now.Add(after), order: f.order, event: e})
+}
+
+// body names what a leaf answers, so that a reply shows where each part comes from.
+func body(c planner.Call) []byte {
+	return fmt.Appendf(nil, "%d/%d/%s", c.Snapshot, c.Shard, c.Target.Leaf.Name)
+}
+
+func (f *fake) send(c planner.Call) {
+	r := &record{call: c}
+	f.records = append(f.records, r)
+	out := planner.Result{Attempt: c.Attempt, Snapshot: c.Snapshot, Shard: c.Shard, Leaf: c.Target.Leaf.Name, Body: body(c)}
+	took := f.latency()
+	fate := f.fates()
+	if !f.holds(c.Snapshot) && fate != unsent && fate != notOwner && fate != vanished {
+		r.received = true
+		out.Reason, out.Body = callerv1.Reason_REASON_SNAPSHOT_GONE, nil
+		f.deliver(took, planner.Event{Kind: planner.Returned, Result: out})
+		return
+	}
+	r.received = fate != unsent && fate != notOwner && fate != vanished
+	failure := func(reason planner.Reason) {
+		out.Reason, out.Body = reason, nil
+		out.Unsent = !r.received
+	}
+	switch fate {
+	case lost, vanished:
+		return
+	case late:
+		took = time.Second
+	case slow:
+		took *= 20
+	case duplicated:
+		f.deliver(took+time.Millisecond, planner.Event{Kind: planner.Returned, Result: out})
+	case crossedShard:
+		out.Shard++
+	case crossedQuery:
+		out.Attempt = "host/1/8/0"
+	case wrongSnapshot:
+		out.Snapshot++
+	case unsent:
+		failure(callerv1.Reason_REASON_CONNECTION_LOST)
+	case notOwner:
+		failure(callerv1.Reason_REASON_NOT_OWNER)
+		out.Owner = "other"
+	case shed:
+		failure(callerv1.Reason_REASON_OVERLOADED)
+	case failing:
+		failure(callerv1.Reason_REASON_SERVER_ERROR)
+	case broken:
+		failure(callerv1.Reason_REASON_CONNECTION_LOST)
+	case crash:
+		failure(callerv1.Reason_REASON_CRASHED)
+	case good:
+	}
+	f.deliver(took, planner.Event{Kind: planner.Returned, Result: out})
+}
--- /dev/null
+++ b/lib/planner/invariant.go
@@ -0,0 +1,60 @@
+package planner
+
+import (
+	"fmt"
+
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+)
+
+// Names of the invariants.
+const (
+	OneSnapshot  = "one_snapshot"
+	CoverageTrue = "coverage_true"
+	NotRunTrue   = "not_run_true"
+	OneReply     = "one_reply"
+	OneAttempt   = "one_attempt"
+)
+
+// stop is the default reaction to a broken invariant.
+func stop(invariant, text string) {
+	panic("planner: " + invariant + ": " + text)
+}
+
+// checkSingle asserts, before a call of a request with a key, that no earlier call of the shard can have reached a leaf.
+func (p *Planner) checkSingle(i uint32) {
+	if !p.query.Keyed {
+		return
+	}
+	for n := range p.attempts {
+		if a := &p.attempts[n]; a.call.Shard == i && a.reached {
+			p.violation(OneAttempt, fmt.Sprintf("shard %d is called again after %s", i, a.call.Attempt))
+		}
+	}
+}
+
+// checkReply asserts that the reply comes from one snapshot and states what happened.
+func (p *Planner) checkReply(r *Reply) {
+	for i := range p.shards {
+		if s := &p.shards[i]; s.answered && s.source != r.Snapshot {
+			p.violation(OneSnapshot, fmt.Sprintf("shard %d answered from snapshot %d in a reply from %d", i, s.source, r.Snapshot))
+		}
+	}
+	if int(r.Answered) != len(r.Parts) || len(r.Parts)+len(r.Missing) != int(p.snapshot.Shards) {
+		p.violation(CoverageTrue, fmt.Sprintf("%d parts and %d missing of %d shards", len(r.Parts), len(r.Missing), p.snapshot.Shards))
+	}
+	for _, m := range r.Missing {
+		if m.Reason == reasonNone {
+			p.violation(CoverageTrue, fmt.Sprintf("shard %d is missing without a reason", m.Shard))
+		}
+	}
+	if r.Outcome == callerv1.Outcome_OUTCOME_REFUSED && p.reached() {
+		p.violation(NotRunTrue, "a leaf may have received a call of a query refused as not run")
+	}
+}
+
+// checkOnce asserts that no reply was given before.
+func (p *Planner) checkOnce() {
+	if p.closed {
+		p.violation(OneReply, "a second reply is given")
+	}
+}
--- /dev/null
+++ b/lib/planner/rerun.go
@@ -0,0 +1,21 @@
+package planner
+
+import "time"
+
+// rerun starts the whole query again on a newer complete snapshot when the pinned one is gone and at least half of
+// the time is left. It reports whether it did. Calls of a request with a key are never repeated.
+func (p *Planner) rerun(now time.Time) bool {
+	left := p.query.Deadline.Sub(now)
+	if p.query.Keyed || p.crashed || 2*left < p.query.Deadline.Sub(p.query.Received) {
+		return false
+	}
+	newer, _ := p.world.Pin(p.snapshot.Number, now)
+	if newer == nil || newer.Number <= p.snapshot.Number || !newer.Complete() {
+		return false
+	}
+	for i := range p.shards {
+		p.cancel(uint32(i))
+	}
+	p.run(newer, now)
+	return true
+}
--- /dev/null
+++ b/lib/planner/retry.go
@@ -0,0 +1,40 @@
+package planner
+
+import "time"
+
+// retry makes another call for a shard whose calls have all failed. It reports whether it did.
+func (p *Planner) retry(n int, r Result, now time.Time) bool {
+	s := &p.shards[r.Shard]
+	if p.crashed || s.attempts >= maxAttempts || !retryable[r.Reason] || (p.query.Keyed && !r.Unsent) {
+		return false
+	}
+	target, ok := p.other(n, r, now)
+	if !ok {
+		return false
+	}
+	kind := Retry
+	if free(r) {
+		kind = Resend
+	} else if !p.world.Retry() {
+		return false
+	}
+	return p.send(r.Shard, target, kind, now)
+}
+
+// free reports whether a call may be repeated without budget: no leaf had it, and no leaf lacked capacity for it.
+func free(r Result) bool {
+	return r.Unsent && r.Reason != reasonOverload
+}
+
+// other returns where the next call of a shard goes: to the owner that was named, to a replica not called yet, or
+// to the same leaf again when only the way to it failed.
+func (p *Planner) other(n int, r Result, now time.Time) (Target, bool) {
+	called := p.attempts[n].call.Target
+	if r.Reason == reasonNotOwner && r.Owner != "" && r.Owner != called.Owner {
+		return Target{Leaf: called.Leaf, Owner: r.Owner}, true
+	}
+	if target, ok := p.world.Choose(r.Shard, p.snapshot.Holders[r.Shard], p.tried(r.Shard), now); ok {
+		return target, true
+	}
+	return called, r.Reason == reasonLost
+}
