--- /dev/null
+++ b/entryd/acceptor/observe.go
@@ -0,0 +1,35 @@
+package acceptor
+
+import (
+	"time"
+
+	"lycheelift.example/lib/planner"
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+)
+
+// ended notes how a call ended. A call that never reached its leaf says nothing about the leaf's latency.
+func (a *Acceptor) ended(service string, c *planner.Call, reason planner.Reason, unsent bool, now time.Time) {
+	leaf := c.Target.Leaf.Name
+	took := now.Sub(c.Sent)
+	a.balance.End(leaf, now)
+	answered := reason == callerv1.Reason_REASON_UNSPECIFIED
+	if answered {
+		a.estimate.Observe(service, took)
+	}
+	if answered || !unsent {
+		a.balance.Observe(leaf, took, answered, now)
+	}
+}
+
+// abandoned notes a call whose reply is not awaited any longer. Its age counts as its latency when it is above the
+// hedge trigger: else the slowest calls, which lose to their hedges, would be missing from the percentile.
+func (a *Acceptor) abandoned(service string, c *planner.Call, now time.Time) {
+	leaf := c.Target.Leaf.Name
+	took := now.Sub(c.Sent)
+	a.balance.End(leaf, now)
+	if trigger := a.estimate.Trigger(service); trigger == 0 || took < trigger {
+		return
+	}
+	a.estimate.Observe(service, took)
+	a.balance.Observe(leaf, took, true, now)
+}
--- a/entryd/acceptor/request.go
+++ b/entryd/acceptor/request.go
@@ -1,14 +1,13 @@
-// Package acceptor answers callers' queries.
 package acceptor
 
 import (
 	"context"
 	"time"
 
-	"github.com/samber/oops"
+	"github.com/cespare/xxhash/v2"
 
-	"lycheelift.example/lib/cataloguer"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+	"lycheelift.example/schema/gen/settings/configuration"
 )
 
 // maxName bounds identities and names in a request, in bytes.
@@ -24,25 +23,7 @@
 	issued   time.Time
 	least    float64
 	deadline time.Time
-}
-
-// refusal is the typed error of a query.
-type refusal struct {
-	outcome  callerv1.Outcome
-	reason   callerv1.Reason
-	text     string
-	wait     time.Duration
-	coverage *callerv1.Coverage
-}
-
-// Error returns the reason and the text.
-func (r *refusal) Error() string {
-	return r.reason.String() + ": " + r.text
-}
-
-// notRun refuses a query of which no leaf received any part.
-func notRun(reason callerv1.Reason, text string) *refusal {
-	return &refusal{outcome: callerv1.Outcome_OUTCOME_REFUSED, reason: reason, text: text}
+	policy   configuration.Service
 }
 
 // parse checks a request whole before any work is done for it.
@@ -74,19 +55,14 @@
 	}, nil
 }
 
-// pin chooses the snapshot that the whole answer will come from.
-func (a *Acceptor) pin(service string, now time.Time) (*cataloguer.Snapshot, *refusal) {
-	snapshot := a.table.Pin(service, 0, now)
-	if snapshot != nil {
-		return snapshot, nil
-	}
-	if a.table.Starting(now) {
-		r := notRun(callerv1.Reason_REASON_STARTING, "this host has just started and does not know all backend servers yet")
-		r.wait = cataloguer.Lease
-		return nil, r
-	}
-	if _, ok := a.follow.View().Document.Services[service]; ok {
-		return nil, notRun(callerv1.Reason_REASON_NO_REPLICA, "no backend server of the service is live")
-	}
-	return nil, notRun(callerv1.Reason_REASON_UNKNOWN_SERVICE, oops.Errorf("no service is named %q", service).Error())
+// fingerprint is a hash of caller, service and body.
+func (r *request) fingerprint() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(r.tenant)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(r.service)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(r.body)
+	return d.Sum64()
 }
--- /dev/null
+++ b/entryd/acceptor/run.go
@@ -0,0 +1,127 @@
+package acceptor
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"lycheelift.example/entryd/dispatcher"
+	"lycheelift.example/entryd/follower"
+	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/planner"
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+// running is one query in its caller's goroutine: one mailbox and one timer serve all of its calls.
+type running struct {
+	accept      *Acceptor
+	ask         *request
+	version     uint64
+	fingerprint uint64
+	plan        *planner.Planner
+	box         *dispatcher.Mailbox
+	timer       *time.Timer
+	reply       *planner.Reply
+}
+
+// run answers a checked request.
+func (a *Acceptor) run(ctx context.Context, r *request, view *follower.View, now time.Time) (*callerv1.QueryResponse, *refusal) {
+	q := &running{
+		accept: a, ask: r, version: view.Number, fingerprint: r.fingerprint(),
+		box: dispatcher.NewMailbox(), timer: time.NewTimer(r.deadline.Sub(now)),
+	}
+	defer q.box.Close()
+	defer q.timer.Stop()
+	q.plan = planner.New(planner.Query{
+		Identity: a.identity(), Keyed: r.key != "", Least: r.least, Received: now, Deadline: r.deadline,
+	}, &world{accept: a, ask: r, view: view}, planner.WithViolation(a.violated))
+	q.step(planner.Event{Kind: planner.Start})
+	for q.reply == nil {
+		q.wait(ctx)
+	}
+	return q.ask.respond(q.reply)
+}
+
+// identity returns the unique prefix of a query's attempts.
+func (a *Acceptor) identity() string {
+	return a.host + "/" + strconv.FormatInt(a.incarnation, 36) + "/" + strconv.FormatUint(a.sequence.Add(1), 36)
+}
+
+func (a *Acceptor) violated(invariant, text string) {
+	eventer.InvariantBroken.Log(a.clock(), "invariant", invariant, "text", text)
+	a.metrics.violations.Inc(1)
+}
+
+// wait takes the next event.
+func (q *running) wait(ctx context.Context) {
+	select {
+	case <-q.box.Ready():
+		for _, r := range q.box.Take() {
+			q.step(planner.Event{Kind: planner.Returned, Result: result(r)})
+		}
+	case <-q.timer.C:
+		q.step(planner.Event{Kind: planner.Elapsed})
+	case <-ctx.Done():
+		q.step(planner.Event{Kind: planner.Abandoned})
+	}
+}
+
+// step gives an event to the planner and does what it asks for.
+func (q *running) step(e planner.Event) {
+	now := q.accept.clock()
+	actions := q.plan.Step(e, now)
+	for i := range actions {
+		q.act(&actions[i], now)
+	}
+}
+
+func (q *running) act(action *planner.Action, now time.Time) {
+	a := q.accept
+	switch action.Kind {
+	case planner.Send:
+		q.send(&action.Call, now)
+	case planner.Cancel:
+		a.abandoned(q.ask.service, &action.Call, now)
+		a.dispatch.Cancel(action.Call.Target.Owner, action.Call.Attempt)
+	case planner.Ended:
+		a.ended(q.ask.service, &action.Call, action.Result.Reason, action.Result.Unsent, now)
+	case planner.SetTimer:
+		q.timer.Reset(action.At.Sub(now))
+	case planner.Drop:
+		a.dropped(action, now)
+	case planner.Finish:
+		q.reply = action.Reply
+	case planner.Suspect, planner.Clear:
+	}
+}
+
+func (q *running) send(c *planner.Call, now time.Time) {
+	a := q.accept
+	a.metrics.calls[c.Kind].Inc(1)
+	a.balance.Begin(c.Target.Leaf.Name, now)
+	a.dispatch.Send(c.Target.Owner, &peerv1.Call{
+		Attempt: c.Attempt, Service: q.ask.service, Snapshot: c.Snapshot, Shard: c.Shard, Leaf: c.Target.Leaf.Name, Body: q.ask.body,
+		Timeout: durationpb.New(c.Timeout), Tenant: q.ask.tenant, Fingerprint: q.fingerprint, Key: q.ask.key, Alone: c.Alone,
+		Extra: c.Kind == planner.Hedge || c.Kind == planner.Retry, Version: q.version,
+	}, q.box)
+}
+
+func result(r *peerv1.CallResult) planner.Result {
+	return planner.Result{
+		Attempt: r.GetAttempt(), Snapshot: r.GetSnapshot(), Shard: r.GetShard(), Leaf: r.GetLeaf(), Body: r.GetBody(),
+		Reason: r.GetReason(), Unsent: r.GetUnsent(), Owner: r.GetOwner(),
+	}
+}
+
+// dropped counts a reply that belongs to no open call.
+func (a *Acceptor) dropped(action *planner.Action, now time.Time) {
+	if !action.Mismatched {
+		a.metrics.late.Inc(1)
+		return
+	}
+	a.metrics.mismatched.Inc(1)
+	eventer.ReplyMismatched.Log(now, "attempt", action.Result.Attempt, "leaf", action.Result.Leaf)
+}
--- a/entryd/dispatcher/dispatcher.go
+++ b/entryd/dispatcher/dispatcher.go
@@ -59,35 +59,34 @@
 	return d
 }
 
-// Send starts a call at its owner. Exactly one result arrives on results, unless the call is cancelled;
-// results must have room for it.
-func (d *Dispatcher) Send(owner string, call *peerv1.Call, results chan<- *peerv1.CallResult) {
+// Send starts a call at its owner. Exactly one result arrives in the mailbox, unless the call is cancelled.
+func (d *Dispatcher) Send(owner string, call *peerv1.Call, box *Mailbox) {
 	if owner == d.self {
-		d.sendLocal(call, results)
+		d.sendLocal(call, box)
 		return
 	}
 	s, err := d.stream(owner)
-	if err != nil || !s.send(call, results) {
-		results <- &peerv1.CallResult{
+	if err != nil || !s.send(call, box) {
+		box.Deliver(&peerv1.CallResult{
 			Attempt: call.GetAttempt(), Snapshot: call.GetSnapshot(), Shard: call.GetShard(), Leaf: call.GetLeaf(),
 			Reason: callerv1.Reason_REASON_CONNECTION_LOST, Unsent: true,
-		}
+		})
 	}
 }
 
-func (d *Dispatcher) sendLocal(call *peerv1.Call, results chan<- *peerv1.CallResult) {
+func (d *Dispatcher) sendLocal(call *peerv1.Call, box *Mailbox) {
 	ctx, cancel := context.WithTimeout(d.ctx, call.GetTimeout().AsDuration())
 	d.cancels.Store(call.GetAttempt(), cancel)
 	go func() {
 		defer cancel()
 		result := d.local.Execute(ctx, call)
 		if _, ok := d.cancels.LoadAndDelete(call.GetAttempt()); ok {
-			results <- result
+			box.Deliver(result)
 		}
 	}()
 }
 
-// Cancel gives up an attempt; no result of it is delivered after Cancel returns, though one may already wait.
+// Cancel gives up an attempt; its result may already wait in the mailbox.
 func (d *Dispatcher) Cancel(owner, attempt string) {
 	if owner == d.self {
 		if cancel, ok := d.cancels.LoadAndDelete(attempt); ok {
--- a/entryd/dispatcher/stream.go
+++ b/entryd/dispatcher/stream.go
@@ -25,10 +25,21 @@
 	conn *grpc.ClientConn
 
 	mu      sync.Mutex
-	pending map[string]chan<- *peerv1.CallResult
+	pending map[string]waiter
 	closed  bool
 }
 
+// waiter is a call whose result is awaited.
+type waiter struct {
+	call *peerv1.Call
+	box  *Mailbox
+}
+
+// matches reports whether a result with the call's identity is also one of its shard, snapshot and leaf.
+func (w waiter) matches(r *peerv1.CallResult) bool {
+	return r.GetShard() == w.call.GetShard() && r.GetSnapshot() == w.call.GetSnapshot() && r.GetLeaf() == w.call.GetLeaf()
+}
+
 // item is a call to send or the identity of an attempt to cancel.
 type item struct {
 	call   *peerv1.Call
@@ -38,7 +49,7 @@
 func newStream(host string, conn *grpc.ClientConn) *stream {
 	return &stream{
 		host: host, conn: conn, out: make(chan item, queueLength), done: make(chan struct{}),
-		pending: make(map[string]chan<- *peerv1.CallResult),
+		pending: make(map[string]waiter),
 	}
 }
 
@@ -104,7 +115,7 @@
 
 // send registers and queues a call. It reports false when the stream is closed or its queue is full;
 // the call was then not sent.
-func (s *stream) send(call *peerv1.Call, results chan<- *peerv1.CallResult) bool {
+func (s *stream) send(call *peerv1.Call, box *Mailbox) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -112,7 +123,7 @@
 	}
 	select {
 	case s.out <- item{call: call}:
-		s.pending[call.GetAttempt()] = results
+		s.pending[call.GetAttempt()] = waiter{call: call, box: box}
 		return true
 	default:
 		return false
@@ -133,16 +144,18 @@
 	}
 }
 
-// deliver hands a result to the call that waits for it. It reports false when none does.
+// deliver hands a result to the call that waits for it. It reports false when none does. A result that carries the
+// identity of a call but not its shard, snapshot and leaf is crossed: the call goes on waiting for its own.
 func (s *stream) deliver(r *peerv1.CallResult) bool {
 	s.mu.Lock()
-	results, ok := s.pending[r.GetAttempt()]
+	w, ok := s.pending[r.GetAttempt()]
+	if !ok || !w.matches(r) {
+		s.mu.Unlock()
+		return false
+	}
 	delete(s.pending, r.GetAttempt())
 	s.mu.Unlock()
-	if ok {
-		results <- r
-	}
-	return ok
+	return w.box.Deliver(r)
 }
 
 // close fails every pending call: the owner may have run it.
@@ -154,8 +167,11 @@
 	}
 	s.closed = true
 	close(s.done)
-	for attempt, results := range s.pending {
-		results <- &peerv1.CallResult{Attempt: attempt, Reason: callerv1.Reason_REASON_CONNECTION_LOST}
+	for _, w := range s.pending {
+		w.box.Deliver(&peerv1.CallResult{
+			Attempt: w.call.GetAttempt(), Snapshot: w.call.GetSnapshot(), Shard: w.call.GetShard(), Leaf: w.call.GetLeaf(),
+			Reason: callerv1.Reason_REASON_CONNECTION_LOST,
+		})
 	}
 	s.pending = nil
 }
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -60,7 +60,8 @@
 		mismatched.Inc(1)
 		eventer.ReplyMismatched.Log(clock(), "attempt", r.GetAttempt(), "leaf", r.GetLeaf())
 	}))
-	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock, acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout))
+	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock,
+		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries), acceptor.WithScope(out.export.Scope))
 	announce := announcer.New(table, out.dial, clock)
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewQueryServiceHandler(accept))
