--- a/lib/planner/fake_test.go
+++ b/lib/planner/fake_test.go
@@ -59,6 +59,7 @@
 	trigger time.Duration
 	hedges  int // budget; spent counts down
 	retries int
+	denials int // hedges that are denied before any is granted
 	fates   func() fate
 
 	now      time.Time
@@ -133,6 +134,10 @@
 func (f *fake) Primary(n int)          { f.primary += n }
 
 func (f *fake) Hedge() bool {
+	if f.denials > 0 {
+		f.denials--
+		return false
+	}
 	if f.hedged >= f.hedges {
 		return false
 	}
