Send calls to the lease holder that the host knows

Cause: after the loss of an owner the static order still named it. Change: the acceptor asks the holder for owners; metrics of owner and query have scopes of their own, because one name with two label sets stopped the start.

--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -57,7 +57,7 @@
 	out := &Server{settings: s, clock: clock, export: exporter.New("lycheelift_entry"), follow: follower.New(clock())}
 	table := cataloguer.New(clock())
 	out.dial = peerer.NewDialer(s.Name, out.follow)
-	execute := executor.New(s.Name, s.Center, table, out.follow, clock, executor.WithScope(out.export.Scope))
+	execute := executor.New(s.Name, s.Center, table, out.follow, clock, executor.WithScope(out.export.Scope.SubScope("owner")))
 	out.execute = execute
 	out.hold = holder.New(s.Name, out.dial, table, out.follow, clock, holder.WithActive(execute.Active), holder.WithChanged(execute.Changed))
 	execute.Bind(out.hold)
@@ -67,7 +67,7 @@
 		eventer.ReplyMismatched.Log(clock(), "attempt", r.GetAttempt(), "leaf", r.GetLeaf())
 	}))
 	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock,
-		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries), acceptor.WithScope(out.export.Scope))
+		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries), acceptor.WithOwners(owners{out.hold}), acceptor.WithScope(out.export.Scope.SubScope("query")))
 	announce := announcer.New(table, out.dial, clock)
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewQueryServiceHandler(accept))
