Run requests with a key at most once

Cause: the acceptor ran a request with an idempotency key like any other.

Change: entryd/submitter sends Begin to the control hosts in turn under one attempt identity, runs the request once through a function of the caller, and stores the outcome behind the reply. A resend gets the stored outcome, or waits and gets unknown. Not run is said only when no Begin of the submission can be committed, or when the ledger refused it. The acceptor hook is one call in answer; a replayed reply keeps the host and version of the first run.

--- a/entryd/acceptor/acceptor.go
+++ b/entryd/acceptor/acceptor.go
@@ -38,6 +38,7 @@
 	table       *cataloguer.Table
 	follow      *follower.Follower
 	dispatch    Dispatcher
+	submit      Submitter
 	clock       func() time.Time
 	body        int
 	timeout     time.Duration
@@ -84,11 +85,18 @@
 		return nil, a.encode(in.GetId(), refused, view.Number)
 	}
 	out.Id = in.GetId()
+	if !out.GetReplayed() {
+		a.sign(out, view, now)
+	}
+	return out, nil
+}
+
+// sign says which host answered and under which version.
+func (a *Acceptor) sign(out *callerv1.QueryResponse, view *follower.View, now time.Time) {
 	out.Version = view.Number
 	out.Age = durationpb.New(a.follow.Age(now))
 	out.Host = a.host
 	out.Center = a.center
-	return out, nil
 }
 
 func (a *Acceptor) answer(ctx context.Context, in *callerv1.QueryRequest, view *follower.View, now time.Time) (*callerv1.QueryResponse, *refusal) {
@@ -96,6 +104,20 @@
 	if refused != nil {
 		return nil, refused
 	}
+	if r.key != "" {
+		return a.once(ctx, r, func(ctx context.Context) (*callerv1.QueryResponse, *refusal) {
+			out, refused := a.ask(ctx, r, view, a.clock())
+			if refused == nil {
+				a.sign(out, view, now) // Before it is stored: a resend gets it as it is.
+			}
+			return out, refused
+		})
+	}
+	return a.ask(ctx, r, view, now)
+}
+
+// ask pins the snapshot and runs the query on it.
+func (a *Acceptor) ask(ctx context.Context, r *request, view *follower.View, now time.Time) (*callerv1.QueryResponse, *refusal) {
 	snapshot, refused := a.pin(r.service, now)
 	if refused != nil {
 		return nil, refused
@@ -214,6 +236,7 @@
 	callerv1.Reason_REASON_OVERLOADED:      connect.CodeResourceExhausted,
 	callerv1.Reason_REASON_QUARANTINED:     connect.CodeFailedPrecondition,
 	callerv1.Reason_REASON_KEY_EXPIRED:     connect.CodeFailedPrecondition,
+	callerv1.Reason_REASON_KEY_EARLY:       connect.CodeFailedPrecondition,
 	callerv1.Reason_REASON_KEY_CONFLICT:    connect.CodeAlreadyExists,
 	callerv1.Reason_REASON_FORBIDDEN:       connect.CodePermissionDenied,
 }
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -18,6 +18,7 @@
 	"lycheelift.example/entryd/executor"
 	"lycheelift.example/entryd/follower"
 	"lycheelift.example/entryd/peerer"
+	"lycheelift.example/entryd/submitter"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
@@ -41,6 +42,7 @@
 	follow   *follower.Follower
 	dial     *peerer.Dialer
 	dispatch *dispatcher.Dispatcher
+	submit   *submitter.Submitter
 	callers  *http.Server
 	peers    *grpc.Server
 }
@@ -60,7 +62,8 @@
 		mismatched.Inc(1)
 		eventer.ReplyMismatched.Log(clock(), "attempt", r.GetAttempt(), "leaf", r.GetLeaf())
 	}))
-	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock, acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout))
+	out.submit = submitter.New(s.Name, clock().UnixNano(), submitter.Clients(s.Control, out.dial), clock)
+	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock, acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithSubmitter(out.submit))
 	announce := announcer.New(table, out.dial, clock)
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewQueryServiceHandler(accept))
@@ -121,6 +124,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err = s.callers.Shutdown(ctx)
+	s.submit.Close(ctx)
 	s.dispatch.Close()
 	s.dial.Close()
 	s.peers.Stop()
--- a/lib/registrar/response.go
+++ b/lib/registrar/response.go
@@ -37,7 +37,7 @@
 func cut(r *callerv1.QueryResponse) *callerv1.QueryResponse {
 	out := &callerv1.QueryResponse{
 		Id: clip(r.GetId()), Outcome: r.GetOutcome(), Snapshot: r.GetSnapshot(), Version: r.GetVersion(),
-		Age: r.GetAge(), Host: clip(r.GetHost()), Center: clip(r.GetCenter()), Truncated: true,
+		Age: r.GetAge(), Reason: r.GetReason(), Host: clip(r.GetHost()), Center: clip(r.GetCenter()), Truncated: true,
 	}
 	if c := r.GetCoverage(); c != nil {
 		out.Coverage = &callerv1.Coverage{Answered: c.GetAnswered(), Total: c.GetTotal()}
