--- a/entryd/acceptor/acceptor.go
+++ b/entryd/acceptor/acceptor.go
@@ -40,6 +40,8 @@
 	follow   *follower.Follower
 	dispatch Dispatcher
 	owners   Owners
+	submit   Submitter
+	record   Recorder
 	clock    func() time.Time
 
 	balance  *balancer.Table
--- a/entryd/acceptor/query.go
+++ b/entryd/acceptor/query.go
@@ -20,16 +20,24 @@
 	view := a.follow.View()
 	out, refused := a.admit(ctx, in, view, now)
 	a.metrics.count(out, refused, a.clock().Sub(now))
+	a.note(in, out, refused, view, a.clock())
 	if refused != nil {
 		eventer.QueryRefused.Log(now, "id", in.GetId(), "service", in.GetService(), "reason", refused.reason.String())
 		return nil, refused.encode(in.GetId(), view.Number)
 	}
 	out.Id = in.GetId()
+	if !out.GetReplayed() {
+		a.sign(out, view, now)
+	}
+	return out, nil
+}
+
+// sign says which host answered and under which version.
+func (a *Acceptor) sign(out *callerv1.QueryResponse, view *follower.View, now time.Time) {
 	out.Version = view.Number
 	out.Age = durationpb.New(a.follow.Age(now))
 	out.Host = a.host
 	out.Center = a.center
-	return out, nil
 }
 
 // admit refuses a query at once when the host runs as many as it may.
@@ -53,5 +61,14 @@
 	if refused != nil {
 		return nil, refused
 	}
-	return a.run(ctx, r, view, now)
+	if r.key == "" {
+		return a.run(ctx, r, view, now)
+	}
+	return a.once(ctx, r, func(ctx context.Context) (*callerv1.QueryResponse, *refusal) {
+		out, refused := a.run(ctx, r, view, a.clock())
+		if refused == nil {
+			a.sign(out, view, now) // Before it is stored: a resend gets it as it is.
+		}
+		return out, refused
+	})
 }
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -19,6 +19,7 @@
 	"lycheelift.example/entryd/follower"
 	"lycheelift.example/entryd/holder"
 	"lycheelift.example/entryd/peerer"
+	"lycheelift.example/entryd/submitter"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
@@ -44,6 +45,7 @@
 	dispatch *dispatcher.Dispatcher
 	execute  *executor.Executor
 	hold     *holder.Holder
+	submit   *submitter.Submitter
 	callers  *http.Server
 	peers    *grpc.Server
 }
@@ -66,8 +68,9 @@
 		mismatched.Inc(1)
 		eventer.ReplyMismatched.Log(clock(), "attempt", r.GetAttempt(), "leaf", r.GetLeaf())
 	}))
+	out.submit = submitter.New(s.Name, clock().UnixNano(), submitter.Clients(s.Control, out.dial), clock)
 	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock,
-		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries), acceptor.WithOwners(owners{out.hold}), acceptor.WithScope(out.export.Scope.SubScope("query")))
+		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries), acceptor.WithOwners(owners{out.hold}), acceptor.WithSubmitter(out.submit), acceptor.WithScope(out.export.Scope.SubScope("query")))
 	announce := announcer.New(table, out.dial, clock)
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewQueryServiceHandler(accept))
@@ -130,6 +133,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	err = s.callers.Shutdown(ctx)
+	s.submit.Close(ctx)
 	if err := s.hold.Release(ctx); err != nil {
 		eventer.LeaseUnheld.Log(s.clock(), "error", err.Error())
 	}
