--- a/lib/cataloguer/table.go
+++ b/lib/cataloguer/table.go
@@ -3,8 +3,8 @@
 
 import (
 	"net/netip"
-	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,11 +49,16 @@
 	Holdings    []Holding
 	// Heard is when the announcement was received.
 	Heard time.Time
+	// Published is true when the leaf comes from the record of its owner instead of an announcement to this host.
+	Published bool
+	// Owner is the host that publishes the leaf, and Epoch that of its lease.
+	Owner string
+	Epoch uint64
 }
 
 // Live reports whether the leaf may receive new work.
 func (l *Leaf) Live(now time.Time) bool {
-	return l.State <= Warm && now.Sub(l.Heard) < Lease
+	return l.State <= Warm && (l.Published || now.Sub(l.Heard) < Lease)
 }
 
 // shardCount divides the table by service, so that lookups of different services do not share a lock.
@@ -63,6 +68,10 @@
 type Table struct {
 	shards [shardCount]shard
 	since  time.Time
+	// published is replaced as a whole, so that queries read it without a lock.
+	published atomic.Pointer[published]
+	complete  atomic.Bool
+	out       atomic.Pointer[func(center string) bool]
 }
 
 type shard struct {
@@ -73,15 +82,23 @@
 // New returns an empty table that started at now.
 func New(now time.Time) *Table {
 	t := &Table{since: now}
+	t.published.Store(&published{})
+	t.Exclude(func(string) bool { return false })
 	for i := range t.shards {
 		t.shards[i].services = make(map[string]map[string]*Leaf)
 	}
 	return t
 }
 
-// Starting reports whether the table is too young to know every leaf: less than one lease has passed.
+// Starting reports whether the table may not know every leaf yet: less than one lease has passed since the start
+// and not every cell was heard of.
 func (t *Table) Starting(now time.Time) bool {
-	return now.Sub(t.since) < Lease
+	return now.Sub(t.since) < Lease && !t.complete.Load()
+}
+
+// Complete ends the start early, when every reachable cell was heard of.
+func (t *Table) Complete() {
+	t.complete.Store(true)
 }
 
 func (t *Table) shard(service string) *shard {
@@ -112,35 +129,3 @@
 	}
 	return a.Sequence > b.Sequence
 }
-
-// Leaves returns the leaves of a service that may receive work, sorted by name.
-func (t *Table) Leaves(service string, now time.Time) []*Leaf {
-	s := t.shard(service)
-	s.RLock()
-	defer s.RUnlock()
-	var out []*Leaf
-	for _, l := range s.services[service] {
-		if l.Live(now) {
-			out = append(out, l)
-		}
-	}
-	slices.SortFunc(out, func(a, b *Leaf) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
-// Find returns a leaf that may receive work.
-func (t *Table) Find(service, leaf string, now time.Time) (*Leaf, bool) {
-	s := t.shard(service)
-	s.RLock()
-	defer s.RUnlock()
-	l, ok := s.services[service][leaf]
-	if !ok || !l.Live(now) {
-		return nil, false
-	}
-	return l, true
-}
--- a/lib/detector/detector.go
+++ b/lib/detector/detector.go
@@ -16,7 +16,7 @@
 	// ProbeTimeout ends a probe, the indirect ones included.
 	ProbeTimeout = 400 * time.Millisecond
 	// SuspicionTimeout is the time in which a suspect can refute. Six probes of each host fit into it, so that
-	// 20% loss on every path leaves less than one wrong verdict in a day.
+	// 20% loss on every path does not make a host dead.
 	SuspicionTimeout = 1500 * time.Millisecond
 	// suspectPeriod is the time between two probes of the same suspect.
 	suspectPeriod = 250 * time.Millisecond
@@ -24,8 +24,13 @@
 	deadPeriod = time.Second
 	// pause is the time between two ticks above which this process itself was stopped.
 	pause = 300 * time.Millisecond
+	// silence is the time without a message from any host above which this host does not judge others. In a cell of
+	// 3 hosts, of which one is dead, another one is heard at least once in two periods.
+	silence = 2 * Period
 	// Helpers is the number of hosts asked to probe on behalf of another.
 	Helpers = 3
+	// Handover is the time for which a host that left still answers calls.
+	Handover = 3 * time.Second
 	// MaxUpdates bounds the updates in one message.
 	MaxUpdates = 6
 	// repeats is how many messages carry one update. In a cell of 9 hosts 12 messages reach each host with high
@@ -61,10 +66,7 @@
 	random  *rand.Rand
 	members map[string]*member
 	// sorted is the names of the members; every decision walks them in this order.
-	sorted []string
-	// order is the round of probes: each host once, in random order, then shuffled again.
-	order   []string
-	next    int
+	sorted  []string
 	pending map[string]probe
 	changes []Change
 	// selfSends is how many more messages carry this host's own refutation or leaving.
@@ -80,7 +82,7 @@
 func New(self string, incarnation, seed uint64, now time.Time) *Detector {
 	return &Detector{
 		self:    Update{Host: self, Incarnation: incarnation, State: Alive},
-		random:  rand.New(rand.NewPCG(seed, incarnation)), //nolint:gosec // Probe order needs no secure randomness.
+		random:  rand.New(rand.NewPCG(seed, incarnation)), //nolint:gosec // The choice of helpers needs no secure randomness.
 		members: make(map[string]*member), pending: make(map[string]probe), due: now, deadDue: now, ticked: now, heard: now,
 	}
 }
@@ -99,13 +101,6 @@
 		}
 	}
 	d.sorted = slices.Sorted(maps.Keys(d.members))
-	d.shuffle()
-}
-
-func (d *Detector) shuffle() {
-	d.order = append(d.order[:0], d.sorted...)
-	d.random.Shuffle(len(d.order), func(i, j int) { d.order[i], d.order[j] = d.order[j], d.order[i] })
-	d.next = 0
 }
 
 // Tick ends probes and suspicions that are due and returns the messages to send. Call it at least every 50 ms.
@@ -152,9 +147,11 @@
 			continue
 		}
 		age := now.Sub(p.sent)
-		if age >= ProbeTimeout {
+		if age >= ProbeTimeout && (d.hears(p.sent) || age >= silence) {
 			delete(d.pending, name)
-			d.suspect(name, now)
+			if d.hears(p.sent) {
+				d.suspect(name, now)
+			}
 			continue
 		}
 		if age >= DirectTimeout && !p.via {
@@ -167,8 +164,8 @@
 
 func (d *Detector) helpers(target string) []Action {
 	var out []Action
-	for _, i := range d.random.Perm(len(d.order)) {
-		via := d.order[i]
+	for _, i := range d.random.Perm(len(d.sorted)) {
+		via := d.sorted[i]
 		if via == target || d.members[via].State != Alive {
 			continue
 		}
@@ -182,16 +179,21 @@
 
 func (d *Detector) suspect(name string, now time.Time) {
 	m := d.members[name]
-	if m == nil || m.State != Alive || d.isolated(now) {
+	if m == nil || m.State != Alive {
 		return
 	}
 	d.set(m, Update{Host: name, Incarnation: m.Incarnation, State: Suspect}, now)
 }
 
-// isolated reports whether this host has heard nobody for so long that its own network is the likely fault.
-// With one other host there is nobody to ask, and the silence counts against the other.
+// hears reports whether another host was heard after an answer to a probe was due. If not, this host's own network
+// is the likely fault. With one other host there is nobody else to hear, and the silence counts against it.
+func (d *Detector) hears(sent time.Time) bool {
+	return len(d.members) == 1 || !d.heard.Before(sent.Add(DirectTimeout))
+}
+
+// isolated reports whether this host has heard nobody for so long that it must not declare others dead.
 func (d *Detector) isolated(now time.Time) bool {
-	return len(d.members) > 1 && now.Sub(d.heard) >= ProbeTimeout
+	return len(d.members) > 1 && now.Sub(d.heard) >= silence
 }
 
 // bury declares suspects dead that did not refute in time.
@@ -235,14 +237,17 @@
 	return []Action{{Kind: Probe, Target: oldest.Host}}
 }
 
-// probeNext probes the next host of the round.
+// probeNext probes the host whose turn it is. All hosts shift their targets by one each period, so that with clocks
+// that agree within a period each host is probed once a period, and a dead one is found in the first. With other clocks
+// each pair still has its turn once a round.
 func (d *Detector) probeNext(now time.Time) []Action {
-	for range d.order {
-		if d.next >= len(d.order) {
-			d.shuffle()
-		}
-		m := d.members[d.order[d.next]]
-		d.next++
+	if len(d.sorted) == 0 {
+		return nil
+	}
+	turn := int(now.UnixNano()/int64(Period)) % len(d.sorted)
+	place, _ := slices.BinarySearch(d.sorted, d.self.Host)
+	for i := range d.sorted {
+		m := d.members[d.sorted[(place+turn+i)%len(d.sorted)]]
 		if _, running := d.pending[m.Host]; m.State == Alive && !running {
 			return d.send(m, now)
 		}
--- a/lib/detector/message.go
+++ b/lib/detector/message.go
@@ -106,6 +106,16 @@
 	return m != nil && m.State <= Suspect
 }
 
+// Serves reports whether a host still answers calls: it is live, or it left less than Handover ago and lets the
+// calls that reach it end while its leaves go to other hosts.
+func (d *Detector) Serves(host string, now time.Time) bool {
+	if host == d.self.Host {
+		return true
+	}
+	m := d.members[host]
+	return d.Live(host) || (m != nil && m.State == Left && now.Sub(m.since) < Handover)
+}
+
 // Members returns the state of every other host, sorted by name.
 func (d *Detector) Members() []Update {
 	out := make([]Update, 0, len(d.members))
