Push versions to one host of each cell from control

Entry hosts polled a control host twice a second each, which is 900 requests a second at 450 hosts. The pusher sends the difference to one host of each cell with the others as relay list, whole versions only to hosts that lack the base, and retries cells that are behind with backoff.

--- /dev/null
+++ b/controld/pusher/pusher.go
@@ -0,0 +1,244 @@
+// Package pusher brings accepted configuration versions to the entry hosts, through one host of each cell.
+package pusher
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	"lycheelift.example/lib/configurator"
+	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/ranker"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+const (
+	// checkInterval is the time between two looks at cells that are behind.
+	checkInterval = 250 * time.Millisecond
+	// pushTimeout bounds one push, the passing on inside the cell included.
+	pushTimeout = 2 * time.Second
+	// retryFirst and retryMost bound the wait between two pushes of one version to one cell. A dead host costs its
+	// cell one push each retryMost.
+	retryFirst = 500 * time.Millisecond
+	retryMost  = 30 * time.Second
+	// loudAfter is the number of pushes after which hosts that are still behind are reported.
+	loudAfter = 3
+)
+
+// Source is the configuration as this control host knows it.
+type Source interface {
+	// Current returns the newest accepted version.
+	Current() *statev1.Version
+	// Leading reports whether this host pushes; only the leader of the log does.
+	Leading() bool
+}
+
+// Dialer opens a connection to an entry host's peer address.
+type Dialer interface {
+	DialAddress(address string) (*grpc.ClientConn, error)
+}
+
+// Pusher pushes versions and collects the reports of versions in force. It is safe for concurrent use.
+type Pusher struct {
+	source Source
+	dial   Dialer
+	clock  func() time.Time
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	reports map[string]*statev1.InForce
+	cells   map[string]*progress
+	plan    *plan
+}
+
+// progress is the state of pushing one version to one cell.
+type progress struct {
+	number  uint64
+	running bool
+	tries   int
+	next    time.Time
+}
+
+// plan is a version with its division into cells.
+type plan struct {
+	version  *statev1.Version
+	document *configurator.Document
+	cells    []ranker.Cell
+}
+
+// New returns a pusher; Run starts it.
+func New(source Source, dial Dialer, clock func() time.Time) *Pusher {
+	return &Pusher{
+		source: source, dial: dial, clock: clock, wake: make(chan struct{}, 1),
+		reports: make(map[string]*statev1.InForce), cells: make(map[string]*progress),
+	}
+}
+
+// Wake makes the pusher look at the source at once; call it after a version was accepted.
+func (p *Pusher) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Report takes versions in force, as entry hosts state them when they fetch.
+func (p *Pusher) Report(hosts []*statev1.InForce) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range hosts {
+		p.reports[h.GetHost()] = h
+	}
+}
+
+// InForce returns the last report of each host of the configuration, sorted by host.
+func (p *Pusher) InForce() []*statev1.InForce {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]*statev1.InForce, 0, len(p.reports))
+	for _, r := range p.reports {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *statev1.InForce) int { return strings.Compare(a.GetHost(), b.GetHost()) })
+	return out
+}
+
+// Run pushes until ctx ends.
+func (p *Pusher) Run(ctx context.Context) {
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.wake:
+		case <-ticker.C:
+		}
+		if p.source.Leading() {
+			p.check(ctx)
+		}
+	}
+}
+
+// check starts a push to every cell that is behind and due.
+func (p *Pusher) check(ctx context.Context) {
+	plan, err := p.current()
+	if err != nil {
+		eventer.PushFailed.Log(p.clock(), "error", err.Error())
+		return
+	}
+	now := p.clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range plan.cells {
+		behind := p.behind(c, plan.version.GetNumber())
+		state := p.state(c.Name, plan.version.GetNumber())
+		if len(behind) == 0 || state.running || now.Before(state.next) {
+			continue
+		}
+		state.running = true
+		go p.push(ctx, plan, c, behind, state)
+	}
+}
+
+// current returns the newest version with its cells; reports of hosts that it does not name are dropped.
+func (p *Pusher) current() (*plan, error) {
+	v := p.source.Current()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.plan != nil && p.plan.version.GetNumber() == v.GetNumber() {
+		return p.plan, nil
+	}
+	document, err := configurator.Parse(v.GetDocument())
+	if err != nil {
+		return nil, oops.In("pusher").Wrapf(err, "version %d", v.GetNumber())
+	}
+	for host := range p.reports {
+		if _, ok := document.Hosts[host]; !ok {
+			delete(p.reports, host)
+		}
+	}
+	p.plan = &plan{version: v, document: document, cells: ranker.Cells(document.Placement())}
+	return p.plan, nil
+}
+
+func (p *Pusher) behind(c ranker.Cell, number uint64) []string {
+	var out []string
+	for _, host := range c.Hosts {
+		if p.reports[host].GetVersion() < number {
+			out = append(out, host)
+		}
+	}
+	return out
+}
+
+func (p *Pusher) state(cell string, number uint64) *progress {
+	s, ok := p.cells[cell]
+	if !ok || s.number != number {
+		s = &progress{number: number}
+		p.cells[cell] = s
+	}
+	return s
+}
+
+// push gives the version to the hosts of a cell that are behind, through the first of them that answers.
+func (p *Pusher) push(ctx context.Context, plan *plan, c ranker.Cell, behind []string, state *progress) {
+	rand.Shuffle(len(behind), func(i, j int) { behind[i], behind[j] = behind[j], behind[i] }) //nolint:gosec // Spreading load needs no secure randomness.
+	for i, host := range behind {
+		relay := slices.Concat(behind[:i], behind[i+1:])
+		if p.give(ctx, plan, host, relay) {
+			break
+		}
+	}
+	now := p.clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	state.running = false
+	state.next = now.Add(min(retryFirst<<min(state.tries, 10), retryMost))
+	state.tries++
+	if left := p.behind(c, plan.version.GetNumber()); len(left) > 0 && state.tries == loudAfter {
+		eventer.PushFailed.Log(now, "version", plan.version.GetNumber(), "cell", c.Name, "hosts", strings.Join(left, " "))
+	}
+}
+
+// give sends the difference and, to a host that lacks the version before, the whole version.
+func (p *Pusher) give(ctx context.Context, plan *plan, host string, relay []string) bool {
+	address, ok := plan.document.Address(host)
+	if !ok {
+		return false
+	}
+	conn, err := p.dial.DialAddress(address.String())
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
+	defer cancel()
+	peer := peerv1.NewPeerServiceClient(conn)
+	change := proto.CloneOf(plan.version)
+	change.Document = nil
+	for _, v := range []*statev1.Version{change, plan.version} {
+		out, err := peer.Apply(ctx, &peerv1.ApplyRequest{Version: v, Relay: relay})
+		if err != nil {
+			return false
+		}
+		p.Report(out.GetHosts())
+		if !p.lacks(host, plan.version.GetNumber()) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pusher) lacks(host string, number uint64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reports[host].GetVersion() < number
+}
--- a/controld/server/server.go
+++ b/controld/server/server.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"lycheelift.example/controld/operator"
+	"lycheelift.example/controld/pusher"
 	"lycheelift.example/lib/configurator"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/transporter"
@@ -25,6 +26,9 @@
 // Run serves a control host until ctx ends.
 func Run(ctx context.Context, s settings.Control, clock func() time.Time) error {
 	st := &store{clock: clock, machine: configurator.New()}
+	push := pusher.New(st, pusher.NewConns(), clock)
+	st.push = push
+	go push.Run(ctx)
 	mux := http.NewServeMux()
 	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(st)))
 	operators := transporter.Server(mux)
