Join hosts by membership, catalogue records and pushed configuration

Each announcement went to every host, owners were fixed by rendezvous order whether or not they lived, and a stop cut off leaf calls of other hosts.

--- a/entryd/acceptor/acceptor.go
+++ b/entryd/acceptor/acceptor.go
@@ -179,6 +179,9 @@
 		return nil, "", false
 	}
 	leaf := holders[rand.IntN(len(holders))] //nolint:gosec // Load balancing needs no secure randomness.
+	if leaf.Owner != "" {
+		return leaf, leaf.Owner, true
+	}
 	cell, ok := ranker.Locate(leaf.Name, leaf.Center, view.Cells)
 	if !ok {
 		return nil, "", false
--- a/entryd/peerer/dialer.go
+++ b/entryd/peerer/dialer.go
@@ -1,18 +1,17 @@
 package peerer
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/stats"
 
 	"lycheelift.example/entryd/follower"
-	backendv1 "lycheelift.example/schema/gen/lycheelift/backend/v1"
-	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
 const (
@@ -20,22 +19,26 @@
 	keepaliveTime = 10 * time.Second
 	// keepaliveAnswer is the time in which the probe must be answered.
 	keepaliveAnswer = time.Second
-	// forwardTimeout bounds the passing on of an announcement.
-	forwardTimeout = 300 * time.Millisecond
+	// reconnectFirst and reconnectMost bound the wait before a lost connection is opened again. The default of gRPC,
+	// 1 s to 2 min, would keep a restarted host from being probed for longer than the detector takes.
+	reconnectFirst = 50 * time.Millisecond
+	reconnectMost  = time.Second
+	// connectTimeout bounds one attempt.
+	connectTimeout = time.Second
 )
 
 // Dialer holds one gRPC connection per host. It is safe for concurrent use.
 type Dialer struct {
-	self   string
 	follow *follower.Follower
+	stats  stats.Handler
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by address
 }
 
 // NewDialer returns a dialer that finds addresses in the configuration in force.
-func NewDialer(self string, follow *follower.Follower) *Dialer {
-	return &Dialer{self: self, follow: follow, conns: make(map[string]*grpc.ClientConn)}
+func NewDialer(follow *follower.Follower, counter stats.Handler) *Dialer {
+	return &Dialer{follow: follow, stats: counter, conns: make(map[string]*grpc.ClientConn)}
 }
 
 // Dial returns the connection to a host by its name.
@@ -55,6 +58,11 @@
 		return c, nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectFirst, Multiplier: 2, Jitter: 0.2, MaxDelay: reconnectMost},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithStatsHandler(d.stats),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveAnswer}))
 	if err != nil {
@@ -64,25 +72,6 @@
 	return c, nil
 }
 
-// Forward passes an announcement to every other host.
-func (d *Dialer) Forward(ctx context.Context, a *backendv1.AnnounceRequest) {
-	view := d.follow.View()
-	for name := range view.Document.Hosts {
-		if name == d.self {
-			continue
-		}
-		conn, err := d.Dial(name)
-		if err != nil {
-			continue
-		}
-		go func() {
-			ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-			defer cancel()
-			_, _ = peerv1.NewPeerServiceClient(conn).Forward(ctx, &peerv1.ForwardRequest{Announcements: []*backendv1.AnnounceRequest{a}})
-		}()
-	}
-}
-
 // Close closes every connection.
 func (d *Dialer) Close() {
 	d.mu.Lock()
--- a/entryd/peerer/peerer.go
+++ b/entryd/peerer/peerer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,9 +23,17 @@
 	Execute(ctx context.Context, call *peerv1.Call) *peerv1.CallResult
 }
 
+// unimplemented is one level deeper than the parts that a Peerer embeds, so that their methods are the ones promoted.
+type unimplemented struct {
+	peerv1.UnimplementedPeerServiceServer
+}
+
 // Peerer serves calls of other hosts.
 type Peerer struct {
-	peerv1.UnimplementedPeerServiceServer
+	unimplemented
+
+	Membership
+	Catalogue
 
 	execute Executor
 	table   *cataloguer.Table
@@ -32,16 +41,34 @@
 	clock   func() time.Time
 }
 
+// Membership answers probes.
+type Membership interface {
+	Probe(ctx context.Context, in *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error)
+	ProbeVia(ctx context.Context, in *peerv1.ProbeViaRequest) (*peerv1.ProbeViaResponse, error)
+}
+
+// Catalogue answers requests for records and versions.
+type Catalogue interface {
+	Sync(ctx context.Context, in *peerv1.SyncRequest) (*peerv1.SyncResponse, error)
+}
+
 // New returns the service.
-func New(execute Executor, table *cataloguer.Table, follow *follower.Follower, clock func() time.Time) *Peerer {
-	return &Peerer{execute: execute, table: table, follow: follow, clock: clock}
+func New(execute Executor, membership Membership, catalogue Catalogue, table *cataloguer.Table, follow *follower.Follower,
+	clock func() time.Time,
+) *Peerer {
+	return &Peerer{Membership: membership, Catalogue: catalogue, execute: execute, table: table, follow: follow, clock: clock}
+}
+
+// Apply takes a pushed version and passes it on.
+func (p *Peerer) Apply(ctx context.Context, in *peerv1.ApplyRequest) (*peerv1.ApplyResponse, error) {
+	return p.follow.Relay(ctx, in), nil
 }
 
 // Channel runs the calls that arrive on a stream and sends back their results as they end.
 func (p *Peerer) Channel(channel grpc.BidiStreamingServer[peerv1.ChannelRequest, peerv1.ChannelResponse]) error {
 	ctx, stop := context.WithCancel(channel.Context())
 	defer stop()
-	s := &session{execute: p.execute, results: make(chan *peerv1.CallResult, resultQueue), cancels: make(map[string]context.CancelFunc)}
+	s := &session{execute: p.execute, follow: p.follow, results: make(chan *peerv1.CallResult, resultQueue), cancels: make(map[string]context.CancelFunc)}
 	go s.write(ctx, channel, stop)
 	for {
 		message, err := channel.Recv()
@@ -85,6 +112,7 @@
 // session is one stream of calls.
 type session struct {
 	execute Executor
+	follow  *follower.Follower
 	results chan *peerv1.CallResult
 
 	mu      sync.Mutex
@@ -92,12 +120,15 @@
 }
 
 func (s *session) start(ctx context.Context, call *peerv1.Call) {
+	sender, _, _ := strings.Cut(call.GetAttempt(), "/")
+	s.follow.Noticed(sender, call.GetVersion())
 	ctx, cancel := context.WithTimeout(ctx, call.GetTimeout().AsDuration())
 	s.mu.Lock()
 	s.cancels[call.GetAttempt()] = cancel
 	s.mu.Unlock()
 	go func() {
 		result := s.execute.Execute(ctx, call)
+		result.Version = s.follow.View().Number
 		s.cancel(call.GetAttempt())
 		s.results <- result
 	}()
--- /dev/null
+++ b/entryd/prober/prober.go
@@ -0,0 +1,240 @@
+// Package prober runs the failure detector of a host's cell over the network.
+package prober
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"lycheelift.example/entryd/follower"
+	"lycheelift.example/lib/detector"
+	"lycheelift.example/lib/eventer"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+const (
+	// tick is the time between two decisions of the detector.
+	tick = 25 * time.Millisecond
+	// leaveTimeout bounds the messages that tell the cell of a graceful stop.
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// Dialer opens a connection to a host by name.
+type Dialer interface {
+	Dial(host string) (*grpc.ClientConn, error)
+}
+
+// Digester knows the hash of the cell's catalogue records and is told that another host has a different one.
+type Digester interface {
+	Home() uint64
+	Differs(host string)
+}
+
+// Prober is the membership of this host's cell. It is safe for concurrent use.
+type Prober struct {
+	self        string
+	incarnation uint64
+	follow      *follower.Follower
+	dial        Dialer
+	digest      Digester
+	clock       func() time.Time
+
+	mu     sync.RWMutex
+	detect *detector.Detector
+	cell   []string
+}
+
+// New returns a prober for the named host. The incarnation must grow with each start.
+func New(self string, incarnation uint64, follow *follower.Follower, dial Dialer, clock func() time.Time) *Prober {
+	return &Prober{
+		self: self, incarnation: incarnation, follow: follow, dial: dial, clock: clock,
+		detect: detector.New(self, incarnation, incarnation, clock()),
+	}
+}
+
+// Connect sets the digester. Call it before the host serves.
+func (p *Prober) Connect(d Digester) { p.digest = d }
+
+// Reconfigure takes the hosts of this host's cell from a view.
+func (p *Prober) Reconfigure(v *follower.View) {
+	cell, _ := v.Cell(p.self)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cell = cell.Hosts
+	p.detect.SetHosts(cell.Hosts, p.clock())
+}
+
+// Run probes until ctx ends.
+func (p *Prober) Run(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := p.clock()
+		p.mu.Lock()
+		actions := p.detect.Tick(now)
+		changes := p.detect.Changes()
+		p.mu.Unlock()
+		for _, c := range changes {
+			events[c.State].Log(now, "host", c.Host, "incarnation", c.Incarnation, "before", c.Before.String())
+		}
+		for _, a := range actions {
+			go p.act(ctx, a)
+		}
+	}
+}
+
+var events = map[detector.State]eventer.Event{
+	detector.Alive: eventer.HostAlive, detector.Suspect: eventer.HostSuspect,
+	detector.Dead: eventer.HostDead, detector.Left: eventer.HostLeft,
+}
+
+func (p *Prober) act(ctx context.Context, a detector.Action) {
+	ctx, cancel := context.WithTimeout(ctx, detector.ProbeTimeout)
+	defer cancel()
+	if a.Kind == detector.Probe {
+		if incarnation, ok := p.probe(ctx, a.Target); ok {
+			p.acked(a.Target, incarnation)
+		}
+		return
+	}
+	conn, err := p.dial.Dial(a.Via)
+	if err != nil {
+		return
+	}
+	out, err := peerv1.NewPeerServiceClient(conn).ProbeVia(ctx, &peerv1.ProbeViaRequest{Host: p.self, Target: a.Target})
+	if err == nil && out.GetAlive() {
+		p.acked(a.Target, out.GetIncarnation())
+	}
+}
+
+func (p *Prober) acked(host string, incarnation uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.detect.Acked(host, incarnation, p.clock())
+}
+
+// probe sends one probe and takes what the answer carries.
+func (p *Prober) probe(ctx context.Context, target string) (uint64, bool) {
+	conn, err := p.dial.Dial(target)
+	if err != nil {
+		return 0, false
+	}
+	request := &peerv1.ProbeRequest{Host: p.self, Version: p.follow.View().Number, Brief: p.brief()}
+	p.mu.Lock()
+	request.Incarnation, request.Members = p.detect.Self().Incarnation, encode(p.detect.Updates(target))
+	p.mu.Unlock()
+	out, err := peerv1.NewPeerServiceClient(conn).Probe(ctx, request)
+	if err != nil {
+		return 0, false
+	}
+	p.take(target, out.GetIncarnation(), out.GetVersion(), out.GetMembers(), out.GetBrief())
+	return out.GetIncarnation(), true
+}
+
+// brief returns what every probe and answer carries besides membership. The digester asks this prober which hosts
+// are live, so brief must be called without the lock.
+func (p *Prober) brief() *peerv1.Brief {
+	age := p.follow.Age(p.clock()).Milliseconds()
+	return &peerv1.Brief{Digest: p.digest.Home(), Age: uint64(age), Removal: p.follow.View().Removal} //nolint:gosec // Not negative.
+}
+
+func (p *Prober) take(host string, incarnation, version uint64, members []*peerv1.Member, brief *peerv1.Brief) {
+	now := p.clock()
+	p.mu.Lock()
+	p.detect.Received(host, incarnation, decode(members), now)
+	p.mu.Unlock()
+	p.follow.Peer(host, version, time.Duration(min(brief.GetAge(), math.MaxInt32))*time.Millisecond, now)
+	p.follow.Removed(brief.GetRemoval(), now)
+	if brief.GetDigest() != p.digest.Home() {
+		p.digest.Differs(host)
+	}
+}
+
+// Probe answers a probe.
+func (p *Prober) Probe(_ context.Context, in *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+	p.take(in.GetHost(), in.GetIncarnation(), in.GetVersion(), in.GetMembers(), in.GetBrief())
+	out := &peerv1.ProbeResponse{Version: p.follow.View().Number, Brief: p.brief()}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out.Incarnation, out.Members = p.detect.Self().Incarnation, encode(p.detect.Updates(in.GetHost()))
+	return out, nil
+}
+
+// ProbeVia probes a host on behalf of another.
+func (p *Prober) ProbeVia(ctx context.Context, in *peerv1.ProbeViaRequest) (*peerv1.ProbeViaResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, detector.ProbeTimeout-detector.DirectTimeout)
+	defer cancel()
+	incarnation, ok := p.probe(ctx, in.GetTarget())
+	return &peerv1.ProbeViaResponse{Alive: ok, Incarnation: incarnation}, nil
+}
+
+// Leave tells every host of the cell that this one stops, and returns when they answered or a short time passed.
+func (p *Prober) Leave(ctx context.Context) {
+	p.mu.Lock()
+	p.detect.Leave()
+	self, cell := p.detect.Self(), p.cell
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, host := range cell {
+		conn, err := p.dial.Dial(host)
+		if host == p.self || err != nil {
+			continue
+		}
+		wait.Go(func() {
+			_, _ = peerv1.NewPeerServiceClient(conn).Probe(ctx, &peerv1.ProbeRequest{
+				Host: p.self, Incarnation: self.Incarnation, Version: p.follow.View().Number,
+				Members: encode([]detector.Update{self}), Brief: p.brief(),
+			})
+		})
+	}
+	wait.Wait()
+}
+
+// Live reports whether a host of the cell may own leaves.
+func (p *Prober) Live(host string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.detect.Live(host)
+}
+
+// Serves reports whether the leaves that a host publishes may be called: it is live, or left a short time ago.
+func (p *Prober) Serves(host string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.detect.Serves(host, p.clock())
+}
+
+// Members returns the state of this host and of every other host of the cell.
+func (p *Prober) Members() []detector.Update {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return append(p.detect.Members(), p.detect.Self())
+}
+
+func encode(in []detector.Update) []*peerv1.Member {
+	out := make([]*peerv1.Member, 0, len(in))
+	for _, u := range in {
+		out = append(out, &peerv1.Member{Host: u.Host, Incarnation: u.Incarnation, State: peerv1.MemberState(u.State)}) //nolint:gosec // 1 to 4.
+	}
+	return out
+}
+
+// decode bounds what a message may carry.
+func decode(in []*peerv1.Member) []detector.Update {
+	in = in[:min(len(in), detector.MaxUpdates)]
+	out := make([]detector.Update, 0, len(in))
+	for _, m := range in {
+		out = append(out, detector.Update{Host: m.GetHost(), Incarnation: m.GetIncarnation(), State: detector.State(m.GetState())})
+	}
+	return out
+}
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -3,12 +3,12 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 
@@ -17,32 +17,40 @@
 	"lycheelift.example/entryd/dispatcher"
 	"lycheelift.example/entryd/executor"
 	"lycheelift.example/entryd/follower"
+	"lycheelift.example/entryd/inspector"
 	"lycheelift.example/entryd/peerer"
+	"lycheelift.example/entryd/prober"
+	"lycheelift.example/entryd/syncer"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
 	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/backend/v1/backendv1connect"
 	"lycheelift.example/schema/gen/lycheelift/caller/v1/callerv1connect"
+	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	settings "lycheelift.example/schema/gen/settings/entryd"
 )
 
-// stopTimeout bounds the wait for in-flight queries on a graceful stop.
-const stopTimeout = 30 * time.Second
-
 // Server is one entry host.
 type Server struct {
 	settings settings.Entry
 	clock    func() time.Time
-	ready    atomic.Bool
+	serving  atomic.Bool
+	stopping atomic.Bool
 
-	export   *exporter.Exporter
-	follow   *follower.Follower
-	dial     *peerer.Dialer
-	dispatch *dispatcher.Dispatcher
-	callers  *http.Server
-	peers    *grpc.Server
+	export     *exporter.Exporter
+	table      *cataloguer.Table
+	follow     *follower.Follower
+	probe      *prober.Prober
+	sync       *syncer.Syncer
+	meter      *meter
+	gate       gate
+	dial       *peerer.Dialer
+	dispatch   *dispatcher.Dispatcher
+	callers    *http.Server
+	peers      *grpc.Server
+	background context.CancelFunc
 }
 
 // New builds the parts of an entry host from checked settings.
@@ -51,31 +59,64 @@
 	if err != nil {
 		return nil, oops.In("server").Wrapf(err, "timeout")
 	}
-	out := &Server{settings: s, clock: clock, export: exporter.New("lycheelift_entry"), follow: follower.New(clock())}
-	table := cataloguer.New(clock())
-	execute := executor.New(table, clock)
-	out.dial = peerer.NewDialer(s.Name, out.follow)
+	now := clock()
+	table := cataloguer.New(now)
+	out := &Server{
+		settings: s, clock: clock, export: exporter.New("lycheelift_entry"), table: table,
+		follow: follower.New(now, follower.WithHost(s.Name, s.Center), follower.WithClock(clock)),
+		meter:  &meter{next: executor.New(table, clock), clock: clock},
+	}
+	counter := peerer.NewCounter(out.export.Scope)
+	out.dial = peerer.NewDialer(out.follow, counter)
+	out.member(uint64(now.UnixNano()))
 	mismatched := out.export.Scope.Counter("replies_mismatched")
-	out.dispatch = dispatcher.New(s.Name, execute, out.dial, dispatcher.WithMismatch(func(r *peerv1.CallResult) {
+	out.dispatch = dispatcher.New(s.Name, out.meter, out.dial, dispatcher.WithMismatch(func(r *peerv1.CallResult) {
 		mismatched.Inc(1)
 		eventer.ReplyMismatched.Log(clock(), "attempt", r.GetAttempt(), "leaf", r.GetLeaf())
 	}))
 	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock, acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout))
-	announce := announcer.New(table, out.dial, clock)
+	announce := announcer.New(table, peerer.NewForwarder(s.Name, out.dial, table.Owner, clock), clock)
 	mux := http.NewServeMux()
-	mux.Handle(callerv1connect.NewQueryServiceHandler(accept))
+	mux.Handle(callerv1connect.NewQueryServiceHandler(accept, connect.WithInterceptors(out.gate.intercept())))
 	mux.Handle(backendv1connect.NewAnnounceServiceHandler(announce))
+	mux.Handle(operatorv1connect.NewHostServiceHandler(inspector.New(s.Name, s.Center, out.follow, table, out.probe,
+		out.stopping.Load, out.meter.calls.Load, clock)))
 	mux.Handle("GET /metrics", out.export.Handler)
 	mux.HandleFunc("GET /ready", out.serveReady)
 	out.callers = transporter.Server(mux)
-	out.peers = grpc.NewServer()
-	peerv1.RegisterPeerServiceServer(out.peers, peerer.New(execute, table, out.follow, clock))
+	out.peers = grpc.NewServer(grpc.StatsHandler(counter))
+	peerv1.RegisterPeerServiceServer(out.peers, peerer.New(out.meter, out.probe, out.sync, table, out.follow, clock))
 	return out, nil
 }
 
+// member builds what this host knows of other hosts.
+func (s *Server) member(incarnation uint64) {
+	name, center := s.settings.Name, s.settings.Center
+	s.probe = prober.New(name, incarnation, s.follow, s.dial, s.clock)
+	s.follow.Connect(s.dial, s.probe.Live)
+	hold := syncer.NewFirst(name, center, s.follow, s.probe.Live)
+	s.sync = syncer.New(name, center, incarnation, s.table, s.follow, s.dial, hold, s.probe.Serves, s.clock)
+	s.probe.Connect(s.sync)
+	s.follow.OnChange(s.probe.Reconfigure)
+	s.follow.OnChange(s.sync.Reconfigure)
+}
+
+// ready reports whether this host takes queries: it has a configuration, knows the leaves, is not stopping and its
+// data centre is not out.
+func (s *Server) ready() bool {
+	view := s.follow.View()
+	return s.serving.Load() && !s.stopping.Load() && view.Number > 0 && !s.table.Starting(s.clock()) && !s.out(view)
+}
+
+// out reports whether the host's data centre is out. Before the first configuration names it, it is not.
+func (s *Server) out(view *follower.View) bool {
+	_, known := view.Document.Centers[s.settings.Center]
+	return known && view.Out(s.settings.Center)
+}
+
 // serveReady tells the platform's balancer whether this host takes queries.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.ready.Load() {
+	if !s.ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -97,8 +138,11 @@
 	go func() { failed <- s.peers.Serve(peers) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	go s.follow.Poll(background, s.settings.Control, s.dial, s.clock)
-	s.ready.Store(true)
+	s.background = stop
+	go s.follow.Run(background, follower.Source{Self: s.settings.Listen.Peers, Control: s.settings.Control, Seeds: s.settings.Seeds})
+	go s.probe.Run(background)
+	go s.sync.Run(background)
+	s.serving.Store(true)
 	eventer.Started.Log(s.clock(), "host", s.settings.Name, "callers", callers.Addr().String(), "peers", peers.Addr().String())
 	select {
 	case <-ctx.Done():
@@ -108,28 +152,3 @@
 		return oops.In("server").Wrapf(err, "serve")
 	}
 }
-
-// drain fails readiness first, gives the balancer time, and then lets in-flight work end.
-func (s *Server) drain() error {
-	eventer.Draining.Log(s.clock(), "host", s.settings.Name)
-	s.ready.Store(false)
-	grace, err := time.ParseDuration(s.settings.Grace)
-	if err != nil {
-		return oops.In("server").Wrapf(err, "grace")
-	}
-	time.Sleep(grace)
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	err = s.callers.Shutdown(ctx)
-	s.dispatch.Close()
-	s.dial.Close()
-	s.peers.Stop()
-	if err := s.export.Close(); err != nil {
-		return oops.In("server").Wrapf(err, "close metrics")
-	}
-	eventer.Stopped.Log(s.clock(), "host", s.settings.Name)
-	if err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return oops.In("server").Wrapf(err, "stop")
-	}
-	return nil
-}
