--- a/controld/server/server.go
+++ b/controld/server/server.go
@@ -15,6 +15,7 @@
 
 	"lycheelift.example/controld/keeper"
 	"lycheelift.example/controld/operator"
+	"lycheelift.example/controld/pusher"
 	"lycheelift.example/controld/replica"
 	"lycheelift.example/controld/store"
 	"lycheelift.example/lib/eventer"
@@ -85,11 +86,16 @@
 }
 
 func serve(ctx context.Context, s settings.Control, clock func() time.Time, r *replica.Replica, state *store.Store) error {
+	conns := pusher.NewConns()
+	defer conns.Close()
+	push := pusher.New(source{Store: state, replica: r}, conns, clock)
+	go push.Run(ctx)
+	served := pushing{Store: state, push: push}
 	mux := http.NewServeMux()
-	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(state, group{r}, clock)))
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(served, group{r}, clock)))
 	operators := transporter.Server(mux)
 	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
-	peerv1.RegisterControlServiceServer(peers, keeper.New(state))
+	peerv1.RegisterControlServiceServer(peers, keeper.New(served))
 	peerv1.RegisterReplicaServiceServer(peers, r.Service())
 	operatorListener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Operators)
 	if err != nil {
--- a/controld/store/fetch.go
+++ b/controld/store/fetch.go
@@ -21,7 +21,7 @@
 // Fetch returns the newest version that the local state knows, or none when the sender has it already, and keeps
 // the sender's reports of versions in force. It works without a majority.
 func (s *Store) Fetch(version uint64, hosts []*statev1.InForce) *statev1.Version {
-	s.reports.put(hosts, s.clock())
+	s.Report(hosts)
 	v, _ := s.local(0)
 	if v.GetNumber() <= version {
 		return nil
@@ -29,8 +29,13 @@
 	return v
 }
 
-// InForce returns the newest version that the local state knows, the reports that have reached this control host lately, sorted by host, and the hosts of the
-// newest version that have not reported it.
+// Report keeps reports of versions in force.
+func (s *Store) Report(hosts []*statev1.InForce) {
+	s.reports.put(hosts, s.clock())
+}
+
+// InForce returns the newest version that the local state knows, the reports that have reached this control host
+// lately, sorted by host, and the hosts of the newest version that have not reported it.
 func (s *Store) InForce() (version uint64, reports []*statev1.InForce, late []string, err error) {
 	newest, _ := s.local(0)
 	hosts, err := hostNames(newest)
--- a/entryd/acceptor/once.go
+++ b/entryd/acceptor/once.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lycheelift.example/entryd/submitter"
+	"lycheelift.example/lib/planner"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 )
 
@@ -26,7 +27,7 @@
 	}
 	var failed *refusal
 	out, refused := a.submit.Submit(ctx, submitter.Request{
-		Tenant: r.tenant, Key: r.key, Issued: r.issued, Deadline: r.deadline.Add(-hopCost),
+		Tenant: r.tenant, Key: r.key, Issued: r.issued, Deadline: r.deadline.Add(-planner.Hop),
 		Fingerprint: xxhash.Sum64String(r.service + "\x00" + string(r.body)),
 	}, func(ctx context.Context) (*callerv1.QueryResponse, bool) {
 		response, refused := run(ctx)
--- a/entryd/holder/holder.go
+++ b/entryd/holder/holder.go
@@ -159,7 +159,7 @@
 		h.granter.Configure(groups, now)
 	}
 	var leaves []string
-	for _, l := range h.table.All(now) {
+	for _, l := range h.table.Heard(now) {
 		if l.Center != h.cell.Center {
 			continue
 		}
@@ -331,9 +331,14 @@
 	return *lease, now.Before(lease.Until)
 }
 
-// Owner returns the host that owns a leaf as far as this host knows: itself, the host that another one or a granter
-// has named, else the first live host in rendezvous order.
+// Owner returns the host that owns a leaf of this host's cell, as Resolve does without a publisher.
 func (h *Holder) Owner(leaf, center string) (string, bool) {
+	return h.Resolve(leaf, center, "")
+}
+
+// Resolve returns the host that owns a leaf as far as this host knows: itself, the host that another one has named,
+// the host that published the leaf, the host that a granter has named, else the first live host in rendezvous order.
+func (h *Holder) Resolve(leaf, center, published string) (string, bool) {
 	now := h.clock()
 	if _, ok := h.Held(leaf, now); ok {
 		return h.self, true
@@ -344,6 +349,9 @@
 		}
 		h.hints.Delete(leaf)
 	}
+	if published != "" && published != h.self && !h.live.Dead(published) {
+		return published, true
+	}
 	h.mu.Lock()
 	owner, ok := h.state.Owner(leaf)
 	h.mu.Unlock()
--- a/lib/cataloguer/known.go
+++ b/lib/cataloguer/known.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// All returns every leaf whose announcement holds, in any state.
-func (t *Table) All(now time.Time) []*Leaf {
+// Heard returns every leaf whose announcement holds, in any state.
+func (t *Table) Heard(now time.Time) []*Leaf {
 	var out []*Leaf
 	for i := range t.shards {
 		s := &t.shards[i]
