Keep the record of answers on control hosts; use TLS identities and roles in the daemons

Cause: control hosts refused batches of answers, and every port was open to everyone. Change: recorder.Store keeps batches in checksummed segments with one sync for appends that wait together; access by role for each procedure, tenants by certificate; one gRPC connection pool in transporter replaces two.

--- a/controld/keeper/keeper.go
+++ b/controld/keeper/keeper.go
@@ -1,9 +1,10 @@
-// Package keeper serves entry hosts: the at-most-once ledger and the newest configuration (gRPC).
+// Package keeper serves entry hosts: the at-most-once ledger, the newest configuration and the record of answers (gRPC).
 package keeper
 
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc/codes"
@@ -28,16 +29,18 @@
 	Fetch(version uint64, hosts []*statev1.InForce) *statev1.Version
 }
 
-// Keeper serves the control service. Record belongs to the record of answers.
+// Keeper serves the control service.
 type Keeper struct {
 	peerv1.UnimplementedControlServiceServer
 
-	store Store
+	store  Store
+	record Recorder
+	clock  func() time.Time
 }
 
 // New returns the service over a store.
-func New(s Store) *Keeper {
-	return &Keeper{store: s}
+func New(s Store, record Recorder, clock func() time.Time) *Keeper {
+	return &Keeper{store: s, record: record, clock: clock}
 }
 
 // Begin commits the intent to run a non-idempotent request. A response with REASON_NO_QUORUM says that the intent
--- a/controld/operator/operator.go
+++ b/controld/operator/operator.go
@@ -49,14 +49,15 @@
 type Operator struct {
 	operatorv1connect.UnimplementedOperatorServiceHandler
 
-	store Store
-	group Group
-	clock func() time.Time
+	store  Store
+	group  Group
+	record Record
+	clock  func() time.Time
 }
 
 // New returns the service over a store and the control group.
-func New(s Store, group Group, clock func() time.Time) *Operator {
-	return &Operator{store: s, group: group, clock: clock}
+func New(s Store, group Group, record Record, clock func() time.Time) *Operator {
+	return &Operator{store: s, group: group, record: record, clock: clock}
 }
 
 const (
--- a/controld/server/server.go
+++ b/controld/server/server.go
@@ -5,11 +5,11 @@
 	"context"
 	"errors"
 	"hash/fnv"
-	"net"
 	"net/http"
 	"path/filepath"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 
@@ -18,6 +18,7 @@
 	"lycheelift.example/controld/pusher"
 	"lycheelift.example/controld/replica"
 	"lycheelift.example/controld/store"
+	"lycheelift.example/lib/authorizer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
@@ -38,11 +39,16 @@
 
 // Run serves a control host until ctx ends.
 func Run(ctx context.Context, s settings.Control, clock func() time.Time) error {
+	security, err := secure(s, clock)
+	if err != nil {
+		return err
+	}
 	machine := store.NewMachine()
 	config, err := configure(s, clock)
 	if err != nil {
 		return err
 	}
+	config.Dial = []grpc.DialOption{security.DialOption()}
 	r, err := replica.Open(config, filepath.Join(s.Data, logFolder), machine)
 	if err != nil {
 		return err
@@ -50,7 +56,7 @@
 	running, stopLog := context.WithCancel(context.Background())
 	logged := make(chan error, 1)
 	go func() { logged <- r.Run(running) }()
-	err = serve(ctx, s, clock, r, store.New(machine, log{r}, clock))
+	err = serve(ctx, s, clock, r, store.New(machine, log{r}, clock), security)
 	stopLog()
 	return errors.Join(err, <-logged)
 }
@@ -85,28 +91,34 @@
 	return h.Sum64() ^ uint64(now.UnixNano())
 }
 
-func serve(ctx context.Context, s settings.Control, clock func() time.Time, r *replica.Replica, state *store.Store) error {
-	conns := pusher.NewConns()
+func serve(ctx context.Context, s settings.Control, clock func() time.Time, r *replica.Replica, state *store.Store, security *transporter.Security) error {
+	record, closeRecord, err := openRecord(s)
+	if err != nil {
+		return err
+	}
+	defer closeRecord()
+	conns := security.Conns()
 	defer conns.Close()
 	push := pusher.New(source{Store: state, replica: r}, conns, clock)
 	go push.Run(ctx)
 	served := pushing{Store: state, push: push}
 	mux := http.NewServeMux()
-	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(served, group{r}, clock)))
-	operators := transporter.Server(mux)
-	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
-	peerv1.RegisterControlServiceServer(peers, keeper.New(served))
+	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(served, group{r}, record, clock),
+		connect.WithInterceptors(authorizer.Interceptor(access)), connect.WithReadMaxBytes(maxRequest)))
+	operators := transporter.Server(authorizer.Handler(mux, security.Open()))
+	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), security.ServerOption())
+	peerv1.RegisterControlServiceServer(peers, keeper.New(served, record, clock))
 	peerv1.RegisterReplicaServiceServer(peers, r.Service())
-	operatorListener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Operators)
+	operatorListener, err := transporter.Listen(ctx, s.Listen.Operators)
 	if err != nil {
-		return oops.In("server").Wrapf(err, "listen for operators")
+		return err
 	}
-	peerListener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.Listen.Peers)
+	peerListener, err := transporter.Listen(ctx, s.Listen.Peers)
 	if err != nil {
-		return oops.In("server").Wrapf(err, "listen for peers")
+		return err
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- operators.Serve(operatorListener) }()
+	go func() { failed <- security.Serve(operators, operatorListener) }()
 	go func() { failed <- peers.Serve(peerListener) }()
 	eventer.Started.Log(clock(), "host", s.Name, "operators", operatorListener.Addr().String(), "peers", peerListener.Addr().String())
 	select {
--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -60,6 +60,11 @@
 			return err
 		}
 	}
+	for range 2 {
+		if err := run(ctx, w, d.binaries, "lycheelift", "ask", "desk", "stamp=licence-17", "--key", "licence-17", "--issued", time.Now().Format(time.DateOnly)+"T00:00:00Z", "--entry", d.hosts[1].callers); err != nil {
+			return err
+		}
+	}
 	results := []*driver.Result{d.load(ctx, "before")}
 	for version, out := range []bool{true, false} {
 		body := mustJSON(map[string]any{"centers": map[string]any{centerName(1): map[string]any{"out": out}}})
@@ -69,7 +74,7 @@
 		results = append(results, d.load(ctx, fmt.Sprintf("%s out=%t", centerName(1), out)))
 	}
 	reporter.Table(w, results)
-	return nil
+	return run(ctx, w, d.binaries, "lycheelift", "answers", "--limit", "5", "--control", strings.Join(d.operators, ","))
 }
 
 func (d *deployment) patch(ctx context.Context, w io.Writer, base int, body []byte, reason string) error {
--- a/entryd/acceptor/note.go
+++ b/entryd/acceptor/note.go
@@ -1,11 +1,13 @@
 package acceptor
 
 import (
+	"context"
 	"time"
 
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"lycheelift.example/entryd/follower"
+	"lycheelift.example/lib/authorizer"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
@@ -21,12 +23,12 @@
 }
 
 // note adds one reply or refusal to the record.
-func (a *Acceptor) note(in *callerv1.QueryRequest, out *callerv1.QueryResponse, refused *refusal, view *follower.View, now time.Time) {
+func (a *Acceptor) note(ctx context.Context, in *callerv1.QueryRequest, out *callerv1.QueryResponse, refused *refusal, view *follower.View, now time.Time) {
 	if a.record == nil {
 		return
 	}
 	answer := &statev1.Answer{
-		Id: clip(in.GetId()), Tenant: clip(in.GetTenant()), Service: clip(in.GetService()), Key: clip(in.GetKey()),
+		Id: clip(in.GetId()), Caller: clip(authorizer.From(ctx).Name), Tenant: clip(in.GetTenant()), Service: clip(in.GetService()), Key: clip(in.GetKey()),
 		Version: view.Number, Time: timestamppb.New(now),
 	}
 	if refused != nil {
--- a/entryd/acceptor/query.go
+++ b/entryd/acceptor/query.go
@@ -20,7 +20,7 @@
 	view := a.follow.View()
 	out, refused := a.admit(ctx, in, view, now)
 	a.metrics.count(out, refused, a.clock().Sub(now))
-	a.note(in, out, refused, view, a.clock())
+	a.note(ctx, in, out, refused, view, a.clock())
 	if refused != nil {
 		eventer.QueryRefused.Log(now, "id", in.GetId(), "service", in.GetService(), "reason", refused.reason.String())
 		return nil, refused.encode(in.GetId(), view.Number)
--- a/entryd/peerer/dialer.go
+++ b/entryd/peerer/dialer.go
@@ -1,44 +1,23 @@
 package peerer
 
 import (
-	"sync"
-	"time"
-
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
-	"google.golang.org/grpc/stats"
 
 	"lycheelift.example/entryd/follower"
+	"lycheelift.example/lib/transporter"
 )
 
-const (
-	// keepaliveTime is the silence after which a connection between hosts is probed.
-	keepaliveTime = 10 * time.Second
-	// keepaliveAnswer is the time in which the probe must be answered.
-	keepaliveAnswer = time.Second
-	// reconnectFirst and reconnectMost bound the wait before a lost connection is opened again. The default of gRPC,
-	// 1 s to 2 min, would keep a restarted host from being probed for longer than the detector takes.
-	reconnectFirst = 50 * time.Millisecond
-	reconnectMost  = time.Second
-	// connectTimeout bounds one attempt.
-	connectTimeout = time.Second
-)
-
-// Dialer holds one gRPC connection per host. It is safe for concurrent use.
+// Dialer finds the connection to a host by its name or address. It is safe for concurrent use.
 type Dialer struct {
-	follow *follower.Follower
-	stats  stats.Handler
+	*transporter.Conns
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by address
+	follow *follower.Follower
 }
 
 // NewDialer returns a dialer that finds addresses in the configuration in force.
-func NewDialer(follow *follower.Follower, counter stats.Handler) *Dialer {
-	return &Dialer{follow: follow, stats: counter, conns: make(map[string]*grpc.ClientConn)}
+func NewDialer(follow *follower.Follower, conns *transporter.Conns) *Dialer {
+	return &Dialer{Conns: conns, follow: follow}
 }
 
 // Dial returns the connection to a host by its name.
@@ -49,34 +28,3 @@
 	}
 	return d.DialAddress(address.String())
 }
-
-// DialAddress returns the connection to an address.
-func (d *Dialer) DialAddress(address string) (*grpc.ClientConn, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if c, ok := d.conns[address]; ok {
-		return c, nil
-	}
-	c, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithConnectParams(grpc.ConnectParams{
-			Backoff:           backoff.Config{BaseDelay: reconnectFirst, Multiplier: 2, Jitter: 0.2, MaxDelay: reconnectMost},
-			MinConnectTimeout: connectTimeout,
-		}),
-		grpc.WithStatsHandler(d.stats),
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveAnswer}))
-	if err != nil {
-		return nil, oops.In("peerer").Wrapf(err, "connect to %s", address)
-	}
-	d.conns[address] = c
-	return c, nil
-}
-
-// Close closes every connection.
-func (d *Dialer) Close() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, c := range d.conns {
-		_ = c.Close()
-	}
-}
--- a/entryd/server/drain.go
+++ b/entryd/server/drain.go
@@ -12,7 +12,6 @@
 
 	"connectrpc.com/connect"
 	"github.com/samber/oops"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"lycheelift.example/lib/eventer"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
@@ -56,15 +55,9 @@
 }
 
 func draining(id string) error {
-	const text = "not run: this host is draining"
-	out := connect.NewError(connect.CodeUnavailable, errors.New(text))
-	detail, err := connect.NewErrorDetail(&callerv1.Refusal{
-		Id: id, Outcome: callerv1.Outcome_OUTCOME_REFUSED, Reason: callerv1.Reason_REASON_DRAINING, Text: text, Wait: durationpb.New(0),
+	return refuse(connect.CodeUnavailable, &callerv1.Refusal{
+		Id: id, Outcome: callerv1.Outcome_OUTCOME_REFUSED, Reason: callerv1.Reason_REASON_DRAINING, Text: "this host is draining",
 	})
-	if err == nil {
-		out.AddDetail(detail)
-	}
-	return out
 }
 
 // drain fails readiness first, gives the balancer time, lets queries end, hands the leaves over, lets the calls of
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -24,6 +23,7 @@
 	"lycheelift.example/entryd/shipper"
 	"lycheelift.example/entryd/submitter"
 	"lycheelift.example/entryd/syncer"
+	"lycheelift.example/lib/authorizer"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
@@ -40,6 +40,7 @@
 type Server struct {
 	settings settings.Entry
 	clock    func() time.Time
+	security *transporter.Security
 	serving  atomic.Bool
 	stopping atomic.Bool
 
@@ -67,15 +68,19 @@
 	if err != nil {
 		return nil, oops.In("server").Wrapf(err, "timeout")
 	}
+	security, err := secure(s, clock)
+	if err != nil {
+		return nil, err
+	}
 	now := clock()
 	table := cataloguer.New(now)
 	out := &Server{
-		settings: s, clock: clock, export: exporter.New("lycheelift_entry"), table: table,
+		settings: s, clock: clock, security: security, export: exporter.New("lycheelift_entry"), table: table,
 		follow: follower.New(now, follower.WithHost(s.Name, s.Center), follower.WithClock(clock)),
 	}
 	counter := peerer.NewCounter(out.export.Scope)
-	out.dial = peerer.NewDialer(out.follow, counter)
-	incarnation := uint64(now.UnixNano()) //nolint:gosec // After 1970.
+	out.dial = peerer.NewDialer(out.follow, security.Conns(grpc.WithStatsHandler(counter)))
+	incarnation := uint64(now.UnixNano())
 	out.execute = executor.New(s.Name, s.Center, table, out.follow, clock, executor.WithScope(out.export.Scope.SubScope("owner")))
 	out.meter = &meter{next: out.execute, clock: clock}
 	out.member(incarnation)
@@ -92,15 +97,16 @@
 		acceptor.WithOwners(owners{out.hold}), acceptor.WithSubmitter(out.submit), acceptor.WithRecorder(buffer),
 		acceptor.WithScope(out.export.Scope.SubScope("query")))
 	announce := announcer.New(table, peerer.NewForwarder(s.Name, out.dial, table.Owner, clock), clock)
+	allowed := connect.WithInterceptors(authorizer.Interceptor(access), tenancy(), out.gate.intercept())
 	mux := http.NewServeMux()
-	mux.Handle(callerv1connect.NewQueryServiceHandler(accept, connect.WithInterceptors(out.gate.intercept())))
-	mux.Handle(backendv1connect.NewAnnounceServiceHandler(announce))
+	mux.Handle(callerv1connect.NewQueryServiceHandler(accept, allowed, connect.WithReadMaxBytes(s.Body+maxEnvelope)))
+	mux.Handle(backendv1connect.NewAnnounceServiceHandler(announce, allowed, connect.WithReadMaxBytes(maxSmall)))
 	mux.Handle(operatorv1connect.NewHostServiceHandler(inspector.New(s.Name, s.Center, out.follow, table, out.probe,
-		out.stopping.Load, out.meter.calls.Load, clock)))
+		out.stopping.Load, out.meter.calls.Load, clock), allowed, connect.WithReadMaxBytes(maxSmall)))
 	mux.Handle("GET /metrics", out.export.Handler)
 	mux.HandleFunc("GET /ready", out.serveReady)
-	out.callers = transporter.Server(mux)
-	out.peers = grpc.NewServer(grpc.StatsHandler(counter))
+	out.callers = transporter.Server(authorizer.Handler(mux, security.Open()))
+	out.peers = grpc.NewServer(grpc.StatsHandler(counter), security.ServerOption())
 	peerv1.RegisterPeerServiceServer(out.peers, peerer.New(out.meter, out.probe, out.sync, out.hold, table, out.follow, clock))
 	return out, nil
 }
@@ -143,16 +149,16 @@
 
 // Run serves until ctx ends, then stops gracefully.
 func (s *Server) Run(ctx context.Context) error {
-	callers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.settings.Listen.Callers)
+	callers, err := transporter.Listen(ctx, s.settings.Listen.Callers)
 	if err != nil {
-		return oops.In("server").Wrapf(err, "listen for callers")
+		return err
 	}
-	peers, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.settings.Listen.Peers)
+	peers, err := transporter.Listen(ctx, s.settings.Listen.Peers)
 	if err != nil {
-		return oops.In("server").Wrapf(err, "listen for peers")
+		return err
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- s.callers.Serve(callers) }()
+	go func() { failed <- s.security.Serve(s.callers, callers) }()
 	go func() { failed <- s.peers.Serve(peers) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
--- /dev/null
+++ b/lib/recorder/store.go
@@ -0,0 +1,298 @@
+package recorder
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/protobuf/proto"
+
+	"lycheelift.example/lib/journaler"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+const (
+	segmentPrefix = "answers-"
+	// segmentSize is the size in bytes at which a new segment is begun; retention deletes whole segments.
+	segmentSize = 8 << 20
+)
+
+// Store keeps batches of answers in checksummed segments. It is safe for concurrent use.
+type Store struct {
+	fs        journaler.FileSystem
+	retention time.Duration
+	space     int64
+
+	mu       sync.Mutex
+	segments []*segment
+	file     journaler.File
+	failed   error
+	written  uint64
+
+	syncing sync.Mutex
+	synced  uint64
+}
+
+// segment is one file of batches.
+type segment struct {
+	name   string
+	number uint64
+	size   int64
+	spans  []*statev1.Span
+	// damaged is the number of bytes that could not be read when the segment was opened.
+	damaged int64
+}
+
+// OpenStore reads the segments. Damaged parts are passed over: the missing numbers show them.
+func OpenStore(fs journaler.FileSystem, retention time.Duration, space int64) (*Store, error) {
+	s := &Store{fs: fs, retention: retention, space: space}
+	names, err := fs.List()
+	if err != nil {
+		return nil, oops.In("recorder").Wrapf(err, "list segments")
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		var number uint64
+		if !strings.HasPrefix(name, segmentPrefix) {
+			continue
+		}
+		if _, err := fmt.Sscanf(name, segmentPrefix+"%d", &number); err != nil {
+			return nil, oops.In("recorder").Wrapf(err, "segment name %s", name)
+		}
+		g := &segment{name: name, number: number}
+		if err := s.index(g); err != nil {
+			return nil, err
+		}
+		s.segments = append(s.segments, g)
+	}
+	return s, s.roll()
+}
+
+// index reads which numbers a segment holds.
+func (s *Store) index(g *segment) error {
+	data, err := s.fs.Read(g.name)
+	if err != nil {
+		return oops.In("recorder").Wrapf(err, "read %s", g.name)
+	}
+	g.size = int64(len(data))
+	g.damaged = journaler.Frames(data, func(payload []byte) {
+		batch := &statev1.AnswerBatch{}
+		if proto.Unmarshal(payload, batch) == nil {
+			g.spans = Union(append(g.spans, spans(batch)...))
+		}
+	})
+	return nil
+}
+
+// roll begins a new segment.
+func (s *Store) roll() error {
+	number := uint64(1)
+	if n := len(s.segments); n > 0 {
+		number = s.segments[n-1].number + 1
+	}
+	if s.file != nil {
+		if err := s.file.Close(); err != nil {
+			return oops.In("recorder").Wrapf(err, "close segment")
+		}
+	}
+	g := &segment{name: fmt.Sprintf("%s%012d", segmentPrefix, number), number: number}
+	file, err := s.fs.Create(g.name)
+	if err != nil {
+		return oops.In("recorder").Wrapf(err, "create segment")
+	}
+	if err := s.fs.Sync(); err != nil {
+		return oops.In("recorder").Wrapf(err, "sync folder")
+	}
+	s.file = file
+	s.segments = append(s.segments, g)
+	return nil
+}
+
+// Append stores a batch and returns once it is durable. A batch that is already stored is not stored again.
+func (s *Store) Append(batch *statev1.AnswerBatch, now time.Time) error {
+	ticket, err := s.write(batch, now)
+	if err != nil {
+		return err
+	}
+	return s.sync(ticket)
+}
+
+func (s *Store) write(batch *statev1.AnswerBatch, now time.Time) (uint64, error) {
+	payload, err := proto.Marshal(batch)
+	if err != nil {
+		return 0, oops.In("recorder").Wrapf(err, "encode batch")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed != nil {
+		return 0, s.failed
+	}
+	held := spans(batch)
+	if s.holds(held) {
+		return s.written, nil
+	}
+	g := s.segments[len(s.segments)-1]
+	if g.size >= segmentSize {
+		// The old segment is synced before it is closed, so that a ticket of it cannot be acknowledged unsynced.
+		if err := s.fail(s.file.Sync()); err != nil {
+			return 0, err
+		}
+		if err := s.fail(s.roll()); err != nil {
+			return 0, err
+		}
+		s.expire(now)
+		g = s.segments[len(s.segments)-1]
+	}
+	frame := journaler.Frame(payload)
+	if _, err := s.file.Write(frame); err != nil {
+		return 0, s.fail(err)
+	}
+	g.size += int64(len(frame))
+	g.spans = Union(append(g.spans, held...))
+	s.written++
+	return s.written, nil
+}
+
+// fail makes a failed write or sync final: what the file holds afterwards is not known.
+func (s *Store) fail(err error) error {
+	if err != nil && s.failed == nil {
+		s.failed = oops.In("recorder").Wrapf(err, "the record of answers cannot be written until a restart")
+	}
+	return s.failed
+}
+
+// sync makes everything up to the ticket durable. Appends that wait together share one sync.
+func (s *Store) sync(ticket uint64) error {
+	s.syncing.Lock()
+	defer s.syncing.Unlock()
+	if s.synced >= ticket {
+		return nil
+	}
+	s.mu.Lock()
+	file, upTo := s.file, s.written
+	s.mu.Unlock()
+	err := file.Sync()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil && file == s.file {
+		return s.fail(err)
+	}
+	if s.failed != nil {
+		return s.failed
+	}
+	s.synced = upTo
+	return nil
+}
+
+// holds reports whether every number of the spans is stored. Marks of a closed host are always stored.
+func (s *Store) holds(in []*statev1.Span) bool {
+	for _, span := range in {
+		if span.GetClosed() || !s.contains(span) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Store) contains(span *statev1.Span) bool {
+	for _, g := range s.segments {
+		for _, held := range g.spans {
+			if same(held, span) && held.GetFrom() <= span.GetFrom() && span.GetUntil() <= held.GetUntil() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// expire deletes the oldest segments beyond the retention or the space.
+func (s *Store) expire(now time.Time) {
+	for len(s.segments) > 1 && (s.total() > s.space || s.segments[0].last().Before(now.Add(-s.retention))) {
+		if s.fs.Remove(s.segments[0].name) != nil {
+			return
+		}
+		s.segments = s.segments[1:]
+	}
+}
+
+func (s *Store) total() int64 {
+	var sum int64
+	for _, g := range s.segments {
+		sum += g.size
+	}
+	return sum
+}
+
+// last returns the time of the newest answer of a segment.
+func (g *segment) last() time.Time {
+	var out time.Time
+	for _, span := range g.spans {
+		if t := span.GetLast().AsTime(); t.After(out) {
+			out = t
+		}
+	}
+	return out
+}
+
+// first returns the time of the oldest answer of a segment.
+func (g *segment) first() time.Time {
+	out := g.last()
+	for _, span := range g.spans {
+		if t := span.GetFirst().AsTime(); span.GetFirst() != nil && t.Before(out) {
+			out = t
+		}
+	}
+	return out
+}
+
+// Search returns the answers that a query selects, the spans kept here, and whether the limit cut the list.
+func (s *Store) Search(q *Query) ([]*statev1.Answer, []*statev1.Span, bool, error) {
+	names, held := s.choose(q)
+	var out []*statev1.Answer
+	for _, name := range names {
+		data, err := s.fs.Read(name)
+		if err != nil {
+			return nil, nil, false, oops.In("recorder").Wrapf(err, "read %s", name)
+		}
+		journaler.Frames(data, func(payload []byte) {
+			batch := &statev1.AnswerBatch{}
+			if proto.Unmarshal(payload, batch) != nil {
+				return
+			}
+			for _, a := range batch.GetAnswers() {
+				if q.Matches(a) {
+					out = append(out, a)
+				}
+			}
+		})
+		if q.Limit > 0 && len(out) > q.Limit {
+			return out[:q.Limit], held, true, nil
+		}
+	}
+	return out, held, false, nil
+}
+
+// choose returns the names of the segments that may hold selected answers, and all spans.
+func (s *Store) choose(q *Query) ([]string, []*statev1.Span) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	var held []*statev1.Span
+	for _, g := range s.segments {
+		held = append(held, g.spans...)
+		if (q.From.IsZero() || !g.last().Before(q.From)) && (q.Until.IsZero() || !g.first().After(q.Until)) {
+			names = append(names, g.name)
+		}
+	}
+	return names, Union(held)
+}
+
+// Close closes the open segment.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return oops.In("recorder").Wrapf(s.file.Close(), "close segment")
+}
--- a/lycheelift/command/answers.go
+++ b/lycheelift/command/answers.go
@@ -53,7 +53,7 @@
 	f.Uint64Var(&in.Version, "version", 0, "only answers under this configuration version")
 	f.StringVar(&from, "from", "", "earliest time, RFC 3339; an hour ago when empty")
 	f.StringVar(&until, "until", "", "latest time, RFC 3339; now when empty")
-	f.Uint32Var(&in.Limit, "limit", answerLimit, "most answers listed for each control host")
+	f.Uint32Var(&in.Limit, "limit", answerLimit, "most answers listed")
 	return c
 }
 
@@ -98,6 +98,9 @@
 		return nil, oops.Errorf("no control host answered: %v", out.Unreachable)
 	}
 	out.Answers = recorder.Merge(lists...)
+	if limit := int(in.GetLimit()); limit > 0 && len(out.GetAnswers()) > limit {
+		out.Answers, out.More = out.GetAnswers()[:limit], true
+	}
 	out.Gaps = recorder.Gaps(recorder.Union(spans), in.GetFrom().AsTime(), in.GetUntil().AsTime(), answerQuiet)
 	return out, nil
 }
--- a/lycheelift/command/ask.go
+++ b/lycheelift/command/ask.go
@@ -19,6 +19,7 @@
 func newAsk(s *shared) *cobra.Command {
 	in := &callerv1.QueryRequest{}
 	var deadline time.Duration
+	var issued string
 	c := &cobra.Command{
 		Use:     "ask SERVICE BODY",
 		Short:   "Ask one question and print the answer with its coverage",
@@ -30,7 +31,11 @@
 				in.Id = rand.Text()
 			}
 			if in.GetKey() != "" {
-				in.Issued = timestamppb.New(time.Now())
+				at, err := issue(issued, time.Now())
+				if err != nil {
+					return err
+				}
+				in.Issued = timestamppb.New(at)
 			}
 			ctx, cancel := context.WithTimeout(cmd.Context(), deadline)
 			defer cancel()
@@ -45,15 +50,28 @@
 	f.DurationVar(&deadline, "deadline", time.Second, "time in which the answer is needed")
 	f.Float64Var(&in.Least, "least", 0, "least coverage accepted, 0 to 1")
 	f.StringVar(&in.Key, "key", "", "idempotency key: the request runs at most once")
+	f.StringVar(&issued, "issued", "", "time at which the key was issued, RFC 3339; now when empty; a resend states the same time")
 	f.StringVar(&in.Id, "id", "", "request identity; made up when empty")
 	f.StringVar(&in.Tenant, "tenant", "", "tenant on whose behalf to ask")
 	return c
 }
 
+// issue returns the time at which a key was issued.
+func issue(text string, now time.Time) (time.Time, error) {
+	if text == "" {
+		return now, nil
+	}
+	at, err := time.Parse(time.RFC3339, text)
+	return at, oops.Wrapf(err, "--issued")
+}
+
 func printAnswer(w io.Writer, out *callerv1.QueryResponse) {
 	coverage := out.GetCoverage()
 	fmt.Fprintf(w, "%s  coverage %d/%d  snapshot %d  configuration %d  host %s\n",
 		out.GetOutcome(), coverage.GetAnswered(), coverage.GetTotal(), out.GetSnapshot(), out.GetVersion(), out.GetHost())
+	if out.GetReplayed() {
+		fmt.Fprintln(w, "  this is the outcome of an earlier request with the same key")
+	}
 	for _, m := range coverage.GetMissing() {
 		fmt.Fprintf(w, "  missing shard %d: %s\n", m.GetShard(), m.GetReason())
 	}
