--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 	@test -z "$$($(GOBIN)/gofumpt -l $$(git ls-files -co --exclude-standard '*.go' | grep -v '^schema/gen/'))" || { $(GOBIN)/gofumpt -l $$(git ls-files -co --exclude-standard '*.go' | grep -v '^schema/gen/'); echo "files are not formatted: run make format"; exit 1; }
 
 lint: tools
-	$(GOBIN)/golangci-lint run $(PACKAGES)
+	$(GOBIN)/golangci-lint run --allow-parallel-runners $(PACKAGES)
 
 vet:
 	go vet $(PACKAGES)
