--- a/lib/replicator/election.go
+++ b/lib/replicator/election.go
@@ -80,7 +80,7 @@
 	r.role, r.leader, r.votes = Leader, r.config.Host, nil
 	r.progress, r.reads, r.successor = make(map[string]*progress), nil, ""
 	r.beatAt = now
-	r.track(now)
+	r.track(now, r.log.last()+1)
 	r.record(now, emptyCommand())
 	r.termStart = r.log.last()
 	r.replicate(now)
--- a/lib/replicator/members.go
+++ b/lib/replicator/members.go
@@ -123,7 +123,7 @@
 		return ErrMembers
 	}
 	r.record(now, &statev1.Command{Kind: &statev1.Command_Members{Members: next}})
-	r.track(now)
+	r.track(now, 1) // A new member has nothing; it would wait for the next record if asked from the end.
 	r.replicate(now)
 	return nil
 }
@@ -144,8 +144,8 @@
 	return count
 }
 
-// track keeps one progress for each other member and incarnation.
-func (r *Replicator) track(now time.Time) {
+// track keeps one progress for each other member and incarnation; next is the first record to try on new ones.
+func (r *Replicator) track(now time.Time, next uint64) {
 	for host := range r.progress {
 		if r.member(host) == nil {
 			delete(r.progress, host)
@@ -158,7 +158,7 @@
 		p := r.progress[m.GetHost()]
 		if p == nil || p.incarnation != m.GetIncarnation() {
 			r.progress[m.GetHost()] = &progress{
-				incarnation: m.GetIncarnation(), next: r.log.last() + 1, contact: now, target: r.log.last(), targetAt: now,
+				incarnation: m.GetIncarnation(), next: next, contact: now, target: r.log.last(), targetAt: now,
 			}
 		}
 	}
--- /dev/null
+++ b/lib/replicator/sim_test.go
@@ -0,0 +1,341 @@
+package replicator_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lycheelift.example/lib/replicator"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+const (
+	election  = 100 * time.Millisecond
+	heartbeat = 20 * time.Millisecond
+	step      = time.Millisecond
+)
+
+// node is one host of the fake group: a replica, its disk and its state machine.
+type node struct {
+	name     string
+	core     *replicator.Replicator // nil while the host is down
+	disk     replicator.Durable     // what was synced
+	applied  uint64
+	state    []string // identities of the applied commands
+	resumeAt time.Time
+	acks     map[uint64]string // proposals that wait, by index
+	terms    map[uint64]uint64
+}
+
+type envelope struct {
+	at time.Time
+	m  replicator.Message
+}
+
+// sim connects nodes by a network that loses, doubles, delays and reorders messages, and checks what Raft promises.
+type sim struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     time.Time
+	nodes   map[string]*node
+	names   []string
+	network []envelope
+	cut     map[[2]string]bool // one way
+	loss    float64            // of messages, and half of it doubled
+	crash   float64            // chance to crash at a sync
+	births  uint64
+
+	leaders   map[uint64]string
+	committed []*statev1.Record
+	members   *statev1.Members // newest committed
+	acked     map[string]uint64
+	ackedTop  uint64
+	reads     map[uint64]uint64 // least index by read
+	counter   int
+}
+
+func newSim(t *testing.T, seed uint64, count int) *sim {
+	s := &sim{
+		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), nodes: map[string]*node{}, cut: map[[2]string]bool{},
+		leaders: map[uint64]string{}, acked: map[string]uint64{}, reads: map[uint64]uint64{},
+	}
+	first := &statev1.Members{}
+	for i := range count {
+		n := s.addNode(string(rune('a' + i)))
+		first.Replicas = append(first.Replicas, &statev1.Replica{Host: n.name, Address: n.name, Incarnation: n.disk.State.GetIncarnation()})
+	}
+	s.nodes["a"].core.Found(s.now, first)
+	s.drain(s.nodes["a"])
+	return s
+}
+
+func (s *sim) addNode(name string) *node {
+	n := &node{name: name}
+	s.nodes[name] = n
+	s.names = append(s.names, name)
+	s.wipe(n)
+	s.start(n)
+	return n
+}
+
+// wipe replaces the disk of a stopped host by a blank one.
+func (s *sim) wipe(n *node) {
+	s.births++
+	n.disk = replicator.Durable{State: &statev1.HardState{Incarnation: s.births}}
+}
+
+func (s *sim) start(n *node) {
+	n.core = replicator.New(replicator.Config{
+		Host: n.name, Election: election, Heartbeat: heartbeat, Keep: 4, Chunk: 40, Seed: s.random.Uint64(),
+	}, n.disk, s.now)
+	n.acks, n.terms = map[uint64]string{}, map[uint64]uint64{}
+	n.restore(s, n.disk.Snapshot)
+}
+
+func (n *node) restore(s *sim, snapshot *statev1.Snapshot) {
+	n.applied, n.state = snapshot.GetIndex(), nil
+	if snapshot != nil {
+		s.must(json.Unmarshal(snapshot.GetState(), &n.state))
+	}
+}
+
+func (s *sim) must(err error) {
+	s.t.Helper()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// drain does what the runtime does, with crashes before and after the sync.
+func (s *sim) drain(n *node) {
+	for n.core != nil {
+		ready, some := n.core.Ready()
+		if !some {
+			break
+		}
+		s.send(ready.Early)
+		if s.random.Float64() < s.crash {
+			n.core = nil
+			return
+		}
+		n.persist(ready)
+		if s.random.Float64() < s.crash {
+			n.core = nil
+			return
+		}
+		n.core.Persisted(s.now)
+		s.send(ready.Messages)
+		if ready.Snapshot != nil {
+			n.restore(s, ready.Snapshot)
+		}
+		for _, r := range ready.Committed {
+			s.apply(n, r)
+		}
+		for _, r := range ready.Reads {
+			if r.Index < s.reads[r.ID] {
+				s.t.Fatalf("read at %d misses the command acknowledged at %d", r.Index, s.reads[r.ID])
+			}
+		}
+	}
+	s.watch(n)
+}
+
+func (n *node) persist(ready replicator.Ready) {
+	if ready.State != nil {
+		n.disk.State = ready.State
+	}
+	if ready.Snapshot != nil {
+		n.disk.Snapshot, n.disk.Records = ready.Snapshot, nil
+	}
+	for _, r := range ready.Records {
+		n.disk.Records = slices.DeleteFunc(n.disk.Records, func(x *statev1.Record) bool { return x.GetIndex() >= r.GetIndex() })
+		n.disk.Records = append(n.disk.Records, r)
+	}
+}
+
+// apply checks that every host applies the same record at each index, each index once and in order.
+func (s *sim) apply(n *node, r *statev1.Record) {
+	if r.GetIndex() != n.applied+1 {
+		s.t.Fatalf("%s applies %d after %d", n.name, r.GetIndex(), n.applied)
+	}
+	n.applied++
+	if int(r.GetIndex()) > len(s.committed) {
+		s.committed = append(s.committed, proto.Clone(r).(*statev1.Record))
+		if m := r.GetCommand().GetMembers(); m != nil {
+			s.members = m
+		}
+	}
+	if known := s.committed[r.GetIndex()-1]; !proto.Equal(known, r) {
+		s.t.Fatalf("%s applies %v at %d, another host applied %v", n.name, r, r.GetIndex(), known)
+	}
+	if p := r.GetCommand().GetPatch(); p != nil {
+		n.state = append(n.state, p.GetId())
+	}
+	if id, ok := n.acks[r.GetIndex()]; ok && n.terms[r.GetIndex()] == r.GetTerm() {
+		s.acked[id] = r.GetIndex()
+		s.ackedTop = max(s.ackedTop, r.GetIndex())
+	}
+}
+
+// watch checks that a term has one leader.
+func (s *sim) watch(n *node) {
+	if n.core == nil {
+		return
+	}
+	st := n.core.Status()
+	if st.Role != replicator.Leader {
+		n.acks, n.terms = map[uint64]string{}, map[uint64]uint64{}
+		return
+	}
+	who := fmt.Sprint(n.name, st.Incarnation)
+	if other, ok := s.leaders[st.Term]; ok && other != who {
+		s.t.Fatalf("term %d has leaders %s and %s", st.Term, other, who)
+	}
+	s.leaders[st.Term] = who
+}
+
+func (s *sim) send(messages []replicator.Message) {
+	for _, m := range messages {
+		if s.cut[[2]string{m.From, m.To}] || s.random.Float64() < s.loss {
+			continue
+		}
+		copies := 1
+		if s.random.Float64() < s.loss/2 {
+			copies = 2
+		}
+		for range copies {
+			delay := time.Duration(s.random.Int64N(int64(3 * time.Millisecond)))
+			if s.random.Float64() < s.loss {
+				delay *= 100 // overtaken by many later messages
+			}
+			s.network = append(s.network, envelope{at: s.now.Add(delay), m: m})
+		}
+	}
+}
+
+// run lets time pass in steps, in which due messages arrive and hosts tick.
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(step)
+		var later []envelope
+		due := s.network
+		s.network = nil
+		for _, e := range due {
+			n := s.nodes[e.m.To]
+			switch {
+			case e.at.After(s.now) || n != nil && n.resumeAt.After(s.now):
+				later = append(later, e)
+			case n != nil && n.core != nil:
+				n.core.Step(s.now, e.m)
+				s.drain(n)
+			}
+		}
+		s.network = append(s.network, later...)
+		for _, name := range s.names {
+			if n := s.nodes[name]; n.core != nil && !n.resumeAt.After(s.now) {
+				n.core.Tick(s.now)
+				s.drain(n)
+			}
+		}
+	}
+}
+
+func (s *sim) leader() *node {
+	var out *node
+	for _, name := range s.names {
+		n := s.nodes[name]
+		if n.core == nil || n.core.Status().Role != replicator.Leader {
+			continue
+		}
+		if out == nil || n.core.Status().Term > out.core.Status().Term {
+			out = n
+		}
+	}
+	return out
+}
+
+// propose sends a command to every host that takes itself for the leader.
+func (s *sim) propose() {
+	for _, name := range s.names {
+		n := s.nodes[name]
+		if n.core == nil || n.resumeAt.After(s.now) {
+			continue
+		}
+		s.counter++
+		id := fmt.Sprint(s.counter)
+		index, term, err := n.core.Propose(s.now, &statev1.Command{Kind: &statev1.Command_Patch{Patch: &statev1.Patch{Id: id}}})
+		if err == nil {
+			n.acks[index], n.terms[index] = id, term
+		}
+		s.reads[uint64(s.counter)] = s.ackedTop
+		_ = n.core.Read(s.now, uint64(s.counter))
+		s.drain(n)
+	}
+}
+
+func (s *sim) compact(n *node) {
+	state, err := json.Marshal(n.state)
+	s.must(err)
+	if snapshot := n.core.Compact(n.applied, state); snapshot != nil {
+		n.disk.Snapshot = snapshot
+		n.disk.Records = slices.DeleteFunc(n.disk.Records, func(x *statev1.Record) bool { return x.GetIndex() <= snapshot.GetIndex() })
+	}
+}
+
+// whole reports whether every committed member has a vote and the disk under which it is known.
+func (s *sim) whole() bool {
+	for _, m := range s.members.GetReplicas() {
+		if m.GetLearner() || s.nodes[m.GetHost()].disk.State.GetIncarnation() != m.GetIncarnation() {
+			return false
+		}
+	}
+	return len(s.members.GetReplicas()) >= 3
+}
+
+func (s *sim) heal() {
+	s.cut, s.loss, s.crash = map[[2]string]bool{}, 0, 0
+	for _, name := range s.names {
+		n := s.nodes[name]
+		n.resumeAt = s.now
+		if n.core == nil {
+			s.start(n)
+		}
+	}
+}
+
+// settle heals everything and demands that the group works, is whole, and has lost nothing.
+func (s *sim) settle() {
+	s.t.Helper()
+	s.heal()
+	for range 200 {
+		s.run(10 * heartbeat)
+		if s.leader() != nil && s.whole() {
+			break
+		}
+	}
+	before := s.counter
+	s.propose()
+	s.run(2 * time.Second)
+	leader := s.leader()
+	if leader == nil || !s.whole() {
+		s.t.Fatalf("the group did not recover: leader %v, members %v", leader, s.members)
+	}
+	if s.counter == before || s.ackedTop == 0 {
+		s.t.Fatal("nothing was committed after the group healed")
+	}
+	for _, m := range s.members.GetReplicas() {
+		if n := s.nodes[m.GetHost()]; n.applied != leader.applied || !slices.Equal(n.state, leader.state) {
+			s.t.Fatalf("%s has applied %d, the leader %d", n.name, n.applied, leader.applied)
+		}
+	}
+	for id, index := range s.acked {
+		if !slices.Contains(leader.state, id) {
+			s.t.Fatalf("the command %s, acknowledged at %d, is lost", id, index)
+		}
+	}
+}
