Quarantine requests that crash backend servers

A request that is not known to be good goes to one leaf first; one canary of a fingerprint runs on a host at a time. A request in flight on a server that crashed is reported to one host of each cell, which passes the report on, before the caller gets its error; it then runs only alone, and a crash alone (or of two canaries) blocks it for 1 h. Calls of a normal fan-out make a suspect but never block, so that innocent requests are not refused for good. The server side is joined to the peer service in entryd/server.

--- a/entryd/acceptor/acceptor.go
+++ b/entryd/acceptor/acceptor.go
@@ -2,6 +2,7 @@
 package acceptor
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,8 @@
 	"lycheelift.example/lib/budgeter"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/estimator"
+	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/quarantiner"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
@@ -27,6 +30,18 @@
 	Owner(leaf *cataloguer.Leaf) (host string, ok bool)
 }
 
+// Isolator keeps requests that crash backend servers away from them.
+type Isolator interface {
+	// Enter decides how a request runs, waiting at most until ctx ends.
+	Enter(ctx context.Context, fingerprint uint64, probe bool) quarantiner.Ticket
+	// Leave ends the canary that a ticket stands for; it may be called twice.
+	Leave(fingerprint uint64, ticket quarantiner.Ticket)
+	// Cleared notes a good reply.
+	Cleared(fingerprint uint64)
+	// Crashed notes a crash and calls done when the other hosts know.
+	Crashed(fingerprint uint64, call *planner.Call, done func())
+}
+
 // Acceptor serves the query service. It is safe for concurrent use.
 type Acceptor struct {
 	host        string
@@ -40,6 +55,7 @@
 	follow   *follower.Follower
 	dispatch Dispatcher
 	owners   Owners
+	isolate  Isolator
 	clock    func() time.Time
 
 	balance  *balancer.Table
@@ -75,6 +91,11 @@
 	return func(a *Acceptor) { a.owners = o }
 }
 
+// WithIsolator sets what keeps harmful requests away; without it every request runs as usual.
+func WithIsolator(i Isolator) Option {
+	return func(a *Acceptor) { a.isolate = i }
+}
+
 // WithScope sets where metrics are counted.
 func WithScope(s tally.Scope) Option {
 	return func(a *Acceptor) { a.metrics = newMetrics(s) }
--- /dev/null
+++ b/entryd/acceptor/harness_test.go
@@ -0,0 +1,217 @@
+package acceptor_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"lycheelift.example/entryd/acceptor"
+	"lycheelift.example/entryd/dispatcher"
+	"lycheelift.example/entryd/follower"
+	"lycheelift.example/entryd/isolator"
+	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/ranker"
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+// harmful is the body that crashes the leaves of the fake.
+const harmful = "harmful"
+
+// leaf is one fake backend server.
+type leaf struct {
+	running map[string]func(callerv1.Reason)
+	alone   bool
+	crashes int
+}
+
+// fleet plays owners and leaves for the dispatchers of all hosts.
+type fleet struct {
+	mu     sync.Mutex
+	free   *sync.Cond
+	leaves map[string]*leaf
+	calls  []*peerv1.Call
+	owners []string
+	hold   time.Duration
+}
+
+func newFleet() *fleet {
+	f := &fleet{leaves: make(map[string]*leaf), hold: 2 * time.Millisecond}
+	f.free = sync.NewCond(&f.mu)
+	return f
+}
+
+// Send runs a call on its fake leaf.
+func (f *fleet) Send(owner string, call *peerv1.Call, box *dispatcher.Mailbox) {
+	go f.execute(owner, call, box)
+}
+
+// Cancel does nothing: results that come later are the acceptor's to drop.
+func (f *fleet) Cancel(string, string) {}
+
+func (f *fleet) execute(owner string, call *peerv1.Call, box *dispatcher.Mailbox) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l, ok := f.leaves[call.GetLeaf()]
+	if !ok {
+		l = &leaf{running: make(map[string]func(callerv1.Reason))}
+		f.leaves[call.GetLeaf()] = l
+	}
+	for l.alone || (call.GetAlone() && len(l.running) > 0) {
+		f.free.Wait()
+	}
+	l.alone = call.GetAlone()
+	f.calls = append(f.calls, call)
+	f.owners = append(f.owners, owner)
+	l.running[call.GetAttempt()] = func(reason callerv1.Reason) {
+		box.Deliver(&peerv1.CallResult{
+			Attempt: call.GetAttempt(), Snapshot: call.GetSnapshot(), Shard: call.GetShard(), Leaf: call.GetLeaf(),
+			Body: call.GetBody(), Reason: reason,
+		})
+	}
+	time.AfterFunc(f.hold, func() { f.end(l, call) })
+}
+
+// end answers a call, or crashes its leaf with all calls that are in flight there.
+func (f *fleet) end(l *leaf, call *peerv1.Call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	answer, ok := l.running[call.GetAttempt()]
+	if !ok {
+		return
+	}
+	delete(l.running, call.GetAttempt())
+	if string(call.GetBody()) == harmful {
+		l.crashes++
+		for _, other := range l.running {
+			other(callerv1.Reason_REASON_CRASHED)
+		}
+		clear(l.running)
+		answer(callerv1.Reason_REASON_CRASHED)
+	} else {
+		answer(callerv1.Reason_REASON_UNSPECIFIED)
+	}
+	l.alone = false
+	f.free.Broadcast()
+}
+
+func (f *fleet) crashes() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, l := range f.leaves {
+		n += l.crashes
+	}
+	return n
+}
+
+// deployment is a few entry hosts in one process.
+type deployment struct {
+	fleet  *fleet
+	table  *cataloguer.Table
+	hosts  []*acceptor.Acceptor
+	follow *follower.Follower
+}
+
+// network connects hosts by name without sockets.
+type network map[string]*bufconn.Listener
+
+func (n network) Dial(host string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+host, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return n[host].DialContext(ctx) }))
+}
+
+// service serves only the reports of suspects.
+type service struct {
+	peerv1.UnimplementedPeerServiceServer
+	isolate *isolator.Isolator
+}
+
+func (s service) Suspect(ctx context.Context, in *peerv1.SuspectRequest) (*peerv1.SuspectResponse, error) {
+	return s.isolate.Suspect(ctx, in)
+}
+
+var centers = []string{"a", "b", "c"}
+
+// deploy makes three data centres of one host each and a service of some shards with a replica in each.
+func deploy(t *testing.T, shards int, services map[string]any, options ...acceptor.Option) *deployment {
+	start := time.Now()
+	d := &deployment{fleet: newFleet(), table: cataloguer.New(start.Add(-time.Minute)), follow: follower.New(start)}
+	d.configure(t, 1, services, nil)
+	for _, c := range centers {
+		for s := range shards {
+			d.table.Put(&cataloguer.Leaf{
+				Name: fmt.Sprintf("leaf-%s-%d", c, s), Center: c, Service: "desk", State: cataloguer.Warm, Slots: 2, Heard: start.Add(time.Hour),
+				Holdings: []cataloguer.Holding{{Snapshot: 1, Shard: uint32(s), Shards: uint32(shards)}},
+			})
+		}
+	}
+	net := network{}
+	for _, c := range centers {
+		d.host(t, "host-"+c, c, net, options)
+	}
+	return d
+}
+
+func (d *deployment) host(t *testing.T, name, center string, net network, options []acceptor.Option) {
+	cells := func() []ranker.Cell { return d.follow.View().Cells }
+	isolate := isolator.New(name, cells, net, time.Now)
+	listener := bufconn.Listen(1 << 16)
+	net[name] = listener
+	server := grpc.NewServer()
+	peerv1.RegisterPeerServiceServer(server, service{isolate: isolate})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	options = append([]acceptor.Option{acceptor.WithIsolator(isolate)}, options...)
+	d.hosts = append(d.hosts, acceptor.New(name, center, d.table, d.follow, d.fleet, time.Now, options...))
+}
+
+// configure puts a configuration version in force.
+func (d *deployment) configure(t *testing.T, number uint64, services map[string]any, out []string) {
+	document := map[string]any{"services": services}
+	places, hosts := map[string]any{}, map[string]any{}
+	for i, c := range centers {
+		places[c] = map[string]any{"region": "north"}
+		hosts["host-"+c] = map[string]any{"center": c, "address": fmt.Sprintf("127.0.0.1:%d", 7000+i)}
+	}
+	for _, c := range out {
+		places[c] = map[string]any{"region": "north", "out": true}
+	}
+	document["centers"], document["hosts"] = places, hosts
+	data, err := json.Marshal(document)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = d.follow.Apply(&statev1.Version{Number: number, Document: data}, time.Now())
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// ask sends one question to a host.
+func (d *deployment) ask(host int, in *callerv1.QueryRequest) (*callerv1.QueryResponse, *callerv1.Refusal) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	in.Id, in.Service = "q", "desk"
+	out, err := d.hosts[host].Query(ctx, in)
+	if err == nil {
+		return out, nil
+	}
+	var c *connect.Error
+	if errors.As(err, &c) {
+		for _, detail := range c.Details() {
+			if value, err := detail.Value(); err == nil {
+				return nil, value.(*callerv1.Refusal)
+			}
+		}
+	}
+	return nil, &callerv1.Refusal{}
+}
--- a/entryd/acceptor/run.go
+++ b/entryd/acceptor/run.go
@@ -11,6 +11,7 @@
 	"lycheelift.example/entryd/follower"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/quarantiner"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
@@ -21,6 +22,9 @@
 	ask         *request
 	version     uint64
 	fingerprint uint64
+	ticket      quarantiner.Ticket
+	reported    chan struct{}
+	ended       chan struct{}
 	plan        *planner.Planner
 	box         *dispatcher.Mailbox
 	timer       *time.Timer
@@ -29,14 +33,19 @@
 
 // run answers a checked request.
 func (a *Acceptor) run(ctx context.Context, r *request, view *follower.View, now time.Time) (*callerv1.QueryResponse, *refusal) {
-	q := &running{
-		accept: a, ask: r, version: view.Number, fingerprint: r.fingerprint(),
-		box: dispatcher.NewMailbox(), timer: time.NewTimer(r.deadline.Sub(now)),
+	q := &running{accept: a, ask: r, version: view.Number, fingerprint: r.fingerprint(), reported: make(chan struct{}), ended: make(chan struct{})}
+	defer close(q.ended)
+	if refused := q.enter(ctx, now); refused != nil {
+		return nil, refused
 	}
+	defer q.leave()
+	q.box = dispatcher.NewMailbox()
 	defer q.box.Close()
+	q.timer = time.NewTimer(r.deadline.Sub(now))
 	defer q.timer.Stop()
 	q.plan = planner.New(planner.Query{
 		Identity: a.identity(), Keyed: r.key != "", Least: r.least, Received: now, Deadline: r.deadline,
+		Canary: q.ticket.Verdict != quarantiner.Free, Alone: q.ticket.Verdict == quarantiner.Alone,
 	}, &world{accept: a, ask: r, view: view}, planner.WithViolation(a.violated))
 	q.step(planner.Event{Kind: planner.Start})
 	for q.reply == nil {
@@ -64,6 +73,8 @@
 		}
 	case <-q.timer.C:
 		q.step(planner.Event{Kind: planner.Elapsed})
+	case <-q.reported:
+		q.step(planner.Event{Kind: planner.Reported})
 	case <-ctx.Done():
 		q.step(planner.Event{Kind: planner.Abandoned})
 	}
@@ -94,7 +105,10 @@
 		a.dropped(action, now)
 	case planner.Finish:
 		q.reply = action.Reply
-	case planner.Suspect, planner.Clear:
+	case planner.Suspect:
+		q.crashed(&action.Call)
+	case planner.Clear:
+		q.cleared()
 	}
 }
 
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -17,10 +17,12 @@
 	"lycheelift.example/entryd/dispatcher"
 	"lycheelift.example/entryd/executor"
 	"lycheelift.example/entryd/follower"
+	"lycheelift.example/entryd/isolator"
 	"lycheelift.example/entryd/peerer"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
+	"lycheelift.example/lib/ranker"
 	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/backend/v1/backendv1connect"
 	"lycheelift.example/schema/gen/lycheelift/caller/v1/callerv1connect"
@@ -60,8 +62,10 @@
 		mismatched.Inc(1)
 		eventer.ReplyMismatched.Log(clock(), "attempt", r.GetAttempt(), "leaf", r.GetLeaf())
 	}))
+	isolate := isolator.New(s.Name, func() []ranker.Cell { return out.follow.View().Cells }, out.dial, clock)
 	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock,
-		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries), acceptor.WithScope(out.export.Scope))
+		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries), acceptor.WithScope(out.export.Scope),
+		acceptor.WithIsolator(isolate))
 	announce := announcer.New(table, out.dial, clock)
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewQueryServiceHandler(accept))
@@ -70,10 +74,16 @@
 	mux.HandleFunc("GET /ready", out.serveReady)
 	out.callers = transporter.Server(mux)
 	out.peers = grpc.NewServer()
-	peerv1.RegisterPeerServiceServer(out.peers, peerer.New(execute, table, out.follow, clock))
+	peerv1.RegisterPeerServiceServer(out.peers, peers{peerer.New(execute, table, out.follow, clock), isolate})
 	return out, nil
 }
 
+// peers is the service for other hosts: the isolator takes the reports of suspects, the peerer all other calls.
+type peers struct {
+	*peerer.Peerer
+	*isolator.Isolator
+}
+
 // serveReady tells the platform's balancer whether this host takes queries.
 func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !s.ready.Load() {
--- a/lib/eventer/query.go
+++ b/lib/eventer/query.go
@@ -6,4 +6,7 @@
 	ReplyMismatched  = define(1002, Warning, "reply does not match its call and was dropped")
 	AnnounceRejected = define(1003, Warning, "announcement rejected")
 	InvariantBroken  = define(1004, Error, "an invariant of a query is broken")
+	RequestSuspected = define(1005, Warning, "request was in flight on a backend server that crashed")
+	SuspectCleared   = define(1006, Info, "suspected request was answered without harm")
+	SuspectUntold    = define(1007, Warning, "host was not told of a suspected request")
 )
--- /dev/null
+++ b/lib/quarantiner/quarantiner_test.go
@@ -0,0 +1,98 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/lib/quarantiner"
+)
+
+var now = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against two canaries of one fingerprint at a time, and against waiters that are never woken.
+func TestOneCanaryAtATime(t *testing.T) {
+	q := quarantiner.New()
+	first := q.Enter(7, true, now)
+	qt.Assert(t, first.Verdict, qt.Equals, quarantiner.Canary)
+	second := q.Enter(7, true, now)
+	qt.Assert(t, second.Verdict, qt.Equals, quarantiner.Wait)
+	qt.Assert(t, q.Enter(8, true, now).Verdict, qt.Equals, quarantiner.Canary)
+	q.Leave(7, first)
+	<-second.Ended
+	third := q.Enter(7, true, now)
+	qt.Assert(t, third.Verdict, qt.Equals, quarantiner.Canary)
+	q.Leave(7, first)
+	qt.Assert(t, q.Enter(7, true, now).Verdict, qt.Equals, quarantiner.Wait)
+	q.Clear(7, now)
+	q.Leave(7, third)
+	qt.Assert(t, q.Enter(7, true, now).Verdict, qt.Equals, quarantiner.Free)
+}
+
+// Guards against a third crash, and against a block that never ends.
+func TestSecondCrashBlocksForAnHour(t *testing.T) {
+	q := quarantiner.New()
+	q.Crash(7, "a", quarantiner.First, now)
+	ticket := q.Enter(7, false, now)
+	qt.Assert(t, ticket.Verdict, qt.Equals, quarantiner.Alone)
+	report := q.Crash(7, "b", quarantiner.Only, now)
+	q.Leave(7, ticket)
+	qt.Assert(t, report, qt.DeepEquals, quarantiner.Report{Attempts: []string{"a", "b"}, Blocked: true})
+	qt.Assert(t, q.Enter(7, true, now.Add(59*time.Minute)).Verdict, qt.Equals, quarantiner.Blocked)
+	qt.Assert(t, q.Clear(7, now), qt.IsFalse)
+	qt.Assert(t, q.Enter(7, true, now).Verdict, qt.Equals, quarantiner.Blocked)
+	qt.Assert(t, q.Enter(7, true, now.Add(time.Hour)).Verdict, qt.Equals, quarantiner.Canary)
+}
+
+// Guards against an innocent request being blocked because it was in flight beside harmful ones, and against a suspect
+// that stays one after a good reply.
+func TestInnocentRequestIsNotBlocked(t *testing.T) {
+	q := quarantiner.New()
+	for i := range 100 {
+		q.Crash(7, fmt.Sprint(i), quarantiner.Beside, now)
+	}
+	ticket := q.Enter(7, true, now)
+	qt.Assert(t, ticket.Verdict, qt.Equals, quarantiner.Alone)
+	qt.Assert(t, q.Clear(7, now), qt.IsTrue)
+	q.Leave(7, ticket)
+	qt.Assert(t, q.Enter(7, true, now).Verdict, qt.Equals, quarantiner.Free)
+}
+
+// Guards against one crash that is reported twice counting as two, and against hosts that do not learn of a block.
+func TestReportsAreMerged(t *testing.T) {
+	q := quarantiner.New()
+	one := quarantiner.Report{Attempts: []string{"a"}}
+	q.Merge(7, one, now)
+	qt.Assert(t, q.Merge(7, one, now).Blocked, qt.IsFalse)
+	qt.Assert(t, q.Merge(7, quarantiner.Report{Attempts: []string{"b"}}, now).Blocked, qt.IsTrue)
+	qt.Assert(t, q.Merge(8, quarantiner.Report{Blocked: true}, now).Blocked, qt.IsTrue)
+}
+
+// Guards against unbounded memory: good fingerprints and suspects are forgotten, blocked ones last.
+func TestMemoryIsBounded(t *testing.T) {
+	q := quarantiner.New()
+	q.Merge(1, quarantiner.Report{Blocked: true}, now)
+	for f := range uint64(400_000) {
+		q.Clear(f+16, now)
+	}
+	for f := range uint64(20_000) {
+		q.Crash(f+1_000_000, "a", quarantiner.Beside, now)
+	}
+	good, suspects := 0, 0
+	for f := range uint64(400_000) {
+		if q.Enter(f+16, true, now).Verdict == quarantiner.Free {
+			good++
+		}
+		if q.Enter(f+1_000_000, false, now).Verdict == quarantiner.Alone {
+			suspects++
+		}
+	}
+	qt.Assert(t, good <= 2*16*4096, qt.IsTrue, qt.Commentf("%d", good))
+	qt.Assert(t, suspects <= 16*1024, qt.IsTrue, qt.Commentf("%d", suspects))
+	qt.Assert(t, q.Enter(1, true, now).Verdict, qt.Equals, quarantiner.Blocked)
+	qt.Assert(t, q.Enter(400_015, true, now).Verdict, qt.Equals, quarantiner.Free)
+	qt.Assert(t, q.Enter(400_015, true, now.Add(11*time.Minute)).Verdict, qt.Equals, quarantiner.Free)
+	qt.Assert(t, q.Enter(400_015, true, now.Add(35*time.Minute)).Verdict, qt.Equals, quarantiner.Canary)
+}
