--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -18,6 +18,7 @@
 	"lycheelift.example/entryd/follower"
 	"lycheelift.example/entryd/holder"
 	"lycheelift.example/entryd/inspector"
+	"lycheelift.example/entryd/isolator"
 	"lycheelift.example/entryd/peerer"
 	"lycheelift.example/entryd/prober"
 	"lycheelift.example/entryd/shipper"
@@ -27,6 +28,7 @@
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
+	"lycheelift.example/lib/ranker"
 	"lycheelift.example/lib/recorder"
 	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/backend/v1/backendv1connect"
@@ -92,9 +94,10 @@
 		mismatched.Inc(1)
 		eventer.ReplyMismatched.Log(clock(), "attempt", r.GetAttempt(), "leaf", r.GetLeaf())
 	}))
+	isolate := isolator.New(s.Name, func() []ranker.Cell { return out.follow.View().Cells }, out.dial, clock)
 	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock,
 		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries),
-		acceptor.WithOwners(owners{out.hold}), acceptor.WithSubmitter(out.submit), acceptor.WithRecorder(buffer),
+		acceptor.WithOwners(owners{out.hold}), acceptor.WithSubmitter(out.submit), acceptor.WithRecorder(buffer), acceptor.WithIsolator(isolate),
 		acceptor.WithScope(out.export.Scope.SubScope("query")))
 	announce := announcer.New(table, peerer.NewForwarder(s.Name, out.dial, table.Owner, clock), clock)
 	allowed := connect.WithInterceptors(authorizer.Interceptor(access), tenancy(), out.gate.intercept())
@@ -107,10 +110,18 @@
 	mux.HandleFunc("GET /ready", out.serveReady)
 	out.callers = transporter.Server(authorizer.Handler(mux, security.Open()))
 	out.peers = grpc.NewServer(grpc.StatsHandler(counter), security.ServerOption())
-	peerv1.RegisterPeerServiceServer(out.peers, peerer.New(out.meter, out.probe, out.sync, out.hold, table, out.follow, clock))
+	peerv1.RegisterPeerServiceServer(out.peers, peers{
+		peerer.New(out.meter, out.probe, out.sync, out.hold, table, out.follow, clock), isolate,
+	})
 	return out, nil
 }
 
+// peers is the service for other hosts: the isolator takes the reports of suspects, the peerer all other calls.
+type peers struct {
+	*peerer.Peerer
+	*isolator.Isolator
+}
+
 // member builds what this host knows of other hosts.
 func (s *Server) member(incarnation uint64) {
 	name, center := s.settings.Name, s.settings.Center
