--- a/entryd/peerer/dialer.go
+++ b/entryd/peerer/dialer.go
@@ -7,6 +7,7 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/stats"
@@ -72,6 +73,19 @@
 	return c, nil
 }
 
+// Wake ends the wait before the next attempt to connect to a host: something was heard of it, so it runs again.
+// Without this, calls to a host that came back would fail until the wait ends.
+func (d *Dialer) Wake(host string) {
+	conn, err := d.Dial(host)
+	if err != nil {
+		return
+	}
+	if conn.GetState() != connectivity.Ready {
+		conn.ResetConnectBackoff()
+		conn.Connect()
+	}
+}
+
 // Close closes every connection.
 func (d *Dialer) Close() {
 	d.mu.Lock()
--- a/entryd/prober/prober.go
+++ b/entryd/prober/prober.go
@@ -25,6 +25,8 @@
 // Dialer opens a connection to a host by name.
 type Dialer interface {
 	Dial(host string) (*grpc.ClientConn, error)
+	// Wake connects at once to a host of which something was heard.
+	Wake(host string)
 }
 
 // Digester knows the hash of the cell's catalogue records and is told that another host has a different one.
@@ -160,6 +162,7 @@
 
 // Probe answers a probe.
 func (p *Prober) Probe(_ context.Context, in *peerv1.ProbeRequest) (*peerv1.ProbeResponse, error) {
+	p.dial.Wake(in.GetHost())
 	p.take(in.GetHost(), in.GetIncarnation(), in.GetVersion(), in.GetMembers(), in.GetBrief())
 	out := &peerv1.ProbeResponse{Version: p.follow.View().Number, Brief: p.brief()}
 	p.mu.Lock()
@@ -214,6 +217,13 @@
 	return p.detect.Serves(host, p.clock())
 }
 
+// Settled reports whether a host has been live for some seconds.
+func (p *Prober) Settled(host string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.detect.Settled(host, p.clock())
+}
+
 // Members returns the state of this host and of every other host of the cell.
 func (p *Prober) Members() []detector.Update {
 	p.mu.RLock()
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -94,7 +94,7 @@
 	name, center := s.settings.Name, s.settings.Center
 	s.probe = prober.New(name, incarnation, s.follow, s.dial, s.clock)
 	s.follow.Connect(s.dial, s.probe.Live)
-	hold := syncer.NewFirst(name, center, s.follow, s.probe.Live)
+	hold := syncer.NewFirst(name, center, s.follow, s.table.Owner, s.probe.Live, s.probe.Settled)
 	s.sync = syncer.New(name, center, incarnation, s.table, s.follow, s.dial, hold, s.probe.Serves, s.clock)
 	s.probe.Connect(s.sync)
 	s.follow.OnChange(s.probe.Reconfigure)
--- a/entryd/syncer/syncer.go
+++ b/entryd/syncer/syncer.go
@@ -36,6 +36,8 @@
 // Dialer opens a connection to a host by name.
 type Dialer interface {
 	Dial(host string) (*grpc.ClientConn, error)
+	// Wake connects at once to a host of which something was heard.
+	Wake(host string)
 }
 
 // Holder says which leaves this host looks after, and under which epoch.
@@ -152,8 +154,10 @@
 func (s *Syncer) Silence(ctx context.Context) {
 	s.mu.Lock()
 	s.silent = true
+	s.book.Publish(nil)
+	s.dirty = false
 	s.mu.Unlock()
-	s.publish(ctx)
+	s.push(ctx)
 }
 
 // publish looks at this host's leaves, spreads a change and brings the planner's table up to date.
@@ -164,15 +168,17 @@
 	s.mu.Lock()
 	silent := s.silent
 	s.mu.Unlock()
-	if !silent {
-		for _, l := range s.table.Announced(now) {
-			if epoch, ok := s.hold.Holds(l.Name, now); ok && l.Center == s.center {
-				leaves = append(leaves, &peerv1.Leaf{Announcement: l.Announcement(), Epoch: epoch})
-			}
+	if silent {
+		s.rebuild()
+		return
+	}
+	for _, l := range s.table.Announced(now) {
+		if epoch, ok := s.hold.Holds(l.Name, now); ok && l.Center == s.center {
+			leaves = append(leaves, &peerv1.Leaf{Announcement: l.Announcement(), Epoch: epoch})
 		}
 	}
 	s.mu.Lock()
-	if s.book.Publish(leaves) {
+	if !s.silent && s.book.Publish(leaves) {
 		s.dirty = true
 	}
 	due := s.dirty && now.Sub(s.pushed) >= pushInterval
@@ -199,30 +205,50 @@
 	s.table.SetPublished(s.book.Leaves(now))
 }
 
-// push sends this host's changed record to its cell and to one host of every other cell. The digests repair a loss.
+// push sends this host's changed record to its cell and to one host of every other cell, which passes it to its own
+// cell. The digests repair a loss. It returns when every host answered or the time for it passed.
 func (s *Syncer) push(ctx context.Context) {
 	s.mu.Lock()
-	own := s.book.Own()
+	home := s.book.HomeName()
+	message := &peerv1.SyncRequest{
+		Catalogues: []*peerv1.Catalogue{s.book.Own()}, Complete: home, Marks: s.book.Marks([]string{home}),
+	}
 	s.mu.Unlock()
+	var wait sync.WaitGroup
 	for _, c := range s.follow.View().Cells {
 		targets := shuffled(c.Hosts)
-		if c.Name != s.homeName() {
-			targets = targets[:1]
-		}
-		for _, host := range targets {
-			if host != s.self {
-				go s.call(ctx, host, &peerv1.SyncRequest{Catalogues: []*peerv1.Catalogue{own}})
+		wait.Go(func() {
+			for _, host := range targets {
+				if c.Name == home {
+					wait.Go(func() { s.call(ctx, host, message) })
+				} else if s.call(ctx, host, message) != nil {
+					return
+				}
 			}
-		}
+		})
+	}
+	wait.Wait()
+}
+
+// relay passes a push from another cell to the other hosts of this one.
+func (s *Syncer) relay(in *peerv1.SyncRequest) {
+	cell, _ := s.follow.View().Cell(s.self)
+	message := &peerv1.SyncRequest{Catalogues: in.GetCatalogues(), Complete: in.GetComplete(), Marks: in.GetMarks()}
+	for _, host := range cell.Hosts {
+		go s.call(context.Background(), host, message)
 	}
 }
 
 // call sends one sync message and takes version, age and removal of the reply.
-func (s *Syncer) call(ctx context.Context, host string, in *peerv1.SyncRequest) *peerv1.SyncResponse {
+func (s *Syncer) call(ctx context.Context, host string, message *peerv1.SyncRequest) *peerv1.SyncResponse {
 	conn, err := s.dial.Dial(host)
-	if err != nil {
+	if err != nil || host == s.self {
 		return nil
 	}
+	in := &peerv1.SyncRequest{
+		Marks: message.GetMarks(), Digest: message.GetDigest(), Cells: message.GetCells(),
+		Catalogues: message.GetCatalogues(), Complete: message.GetComplete(),
+	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
 	in.Host, in.Version = s.self, s.follow.View().Number
@@ -304,19 +330,13 @@
 	if in.GetDigest() != nil {
 		out.Digest = s.digest()
 	}
-	s.mu.Lock()
-	for _, c := range in.GetCatalogues() {
-		s.book.Offer(c)
-		if c.GetHost() == in.GetHost() {
-			s.book.Vouched(c.GetHost(), now)
-		}
-	}
 	if len(in.GetCells()) > 0 {
+		s.mu.Lock()
 		out.Marks, out.Catalogues = s.book.Answer(in.GetCells(), in.GetMarks())
+		s.mu.Unlock()
 	}
-	s.mu.Unlock()
 	if len(in.GetCatalogues()) > 0 {
-		s.rebuild()
+		s.pushedTo(in, view)
 	}
 	if _, known := view.Document.Hosts[in.GetHost()]; known {
 		s.follow.Noticed(in.GetHost(), in.GetVersion())
@@ -324,6 +344,27 @@
 	return out, nil
 }
 
+// pushedTo takes a push. One that came from another cell is passed on inside this one; when it shows that other
+// records of its cell are missing here, they are fetched from the sender.
+func (s *Syncer) pushedTo(in *peerv1.SyncRequest, view *follower.View) {
+	s.mu.Lock()
+	fresh := false
+	for _, c := range in.GetCatalogues() {
+		s.dial.Wake(c.GetHost())
+		fresh = s.book.Offer(c) || fresh
+	}
+	home := s.book.HomeName()
+	known := in.GetComplete() == home || s.book.Complete(in.GetComplete(), in.GetMarks(), s.clock())
+	s.mu.Unlock()
+	s.rebuild()
+	if sender, ok := view.Cell(in.GetHost()); fresh && ok && sender.Name != home {
+		s.relay(in)
+	}
+	if !known {
+		go s.swap(context.Background(), in.GetHost())
+	}
+}
+
 // Home returns the hash of the own cell's records.
 func (s *Syncer) Home() uint64 {
 	s.mu.Lock()
--- a/lib/detector/message.go
+++ b/lib/detector/message.go
@@ -116,6 +116,12 @@
 	return d.Live(host) || (m != nil && m.State == Left && now.Sub(m.since) < Handover)
 }
 
+// Settled reports whether another host has been live, under one incarnation, for at least Handover.
+func (d *Detector) Settled(host string, now time.Time) bool {
+	m := d.members[host]
+	return m != nil && m.State <= Suspect && now.Sub(m.since) >= Handover
+}
+
 // Members returns the state of every other host, sorted by name.
 func (d *Detector) Members() []Update {
 	out := make([]Update, 0, len(d.members))
--- a/lib/disseminator/digest.go
+++ b/lib/disseminator/digest.go
@@ -147,20 +147,25 @@
 	}
 }
 
-// Vouched notes that a host of another cell pushed its own record, which shows that its cell is live.
-func (b *Book) Vouched(host string, now time.Time) {
-	if i, ok := b.cellOf[host]; ok && i != b.home {
-		b.heard[b.cells[i].Name] = now
+// Complete takes the complete marks of another cell from a host of that cell, and drops the records of hosts without
+// a mark. It reports whether every marked record is known; only then the cell counts as heard, because an age
+// belongs to a whole state of a cell.
+func (b *Book) Complete(cell string, marks []*peerv1.Mark, now time.Time) bool {
+	marked := make(map[string]bool, len(marks))
+	known := true
+	for _, m := range marks {
+		marked[m.GetHost()] = true
+		r, ok := b.records[m.GetHost()]
+		known = known && ok && !newer(m.GetIncarnation(), m.GetSequence(), r.message)
 	}
-}
-
-// Unheard returns the number of other cells that were not heard of since this host started.
-func (b *Book) Unheard() int {
-	n := 0
 	for i, c := range b.cells {
-		if _, ok := b.heard[c.Name]; !ok && i != b.home {
-			n++
+		if c.Name != cell || i == b.home {
+			continue
+		}
+		b.drop(i, marked)
+		if known {
+			b.heard[cell] = now
 		}
 	}
-	return n
+	return known
 }
