--- a/entryd/peerer/dialer.go
+++ b/entryd/peerer/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 
 	"lycheelift.example/entryd/follower"
 	"lycheelift.example/lib/transporter"
@@ -28,3 +29,16 @@
 	}
 	return d.DialAddress(address.String())
 }
+
+// Wake ends the wait before the next attempt to connect to a host: something was heard of it, so it runs again.
+// Without this, calls to a host that came back would fail until the wait ends.
+func (d *Dialer) Wake(host string) {
+	conn, err := d.Dial(host)
+	if err != nil {
+		return
+	}
+	if conn.GetState() != connectivity.Ready {
+		conn.ResetConnectBackoff()
+		conn.Connect()
+	}
+}
