--- a/demo/runner/process.go
+++ b/demo/runner/process.go
@@ -95,8 +95,9 @@
 	}
 }
 
-// run runs a program to its end and shows the command line and its output.
-func run(ctx context.Context, w io.Writer, binaries, program string, args ...string) error {
+// operate runs the operators' command line and shows it with its output.
+func operate(ctx context.Context, w io.Writer, binaries string, args ...string) error {
+	const program = "lycheelift"
 	fmt.Fprintf(w, "$ %s", program)
 	for _, a := range args {
 		fmt.Fprintf(w, " %s", a)
--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -56,12 +56,12 @@
 	}
 	time.Sleep(settle)
 	for _, question := range []string{"name=Lotca", "name=Sirena", "tag=4711"} {
-		if err := run(ctx, w, d.binaries, "lycheelift", "ask", "desk", question, "--least", "1", "--entry", d.hosts[0].callers); err != nil {
+		if err := operate(ctx, w, d.binaries, "ask", "desk", question, "--least", "1", "--entry", d.hosts[0].callers); err != nil {
 			return err
 		}
 	}
 	for range 2 {
-		if err := run(ctx, w, d.binaries, "lycheelift", "ask", "desk", "stamp=licence-17", "--key", "licence-17", "--issued", time.Now().Format(time.DateOnly)+"T00:00:00Z", "--entry", d.hosts[1].callers); err != nil {
+		if err := operate(ctx, w, d.binaries, "ask", "desk", "stamp=licence-17", "--key", "licence-17", "--issued", time.Now().Format(time.DateOnly)+"T00:00:00Z", "--entry", d.hosts[1].callers); err != nil {
 			return err
 		}
 	}
@@ -74,7 +74,7 @@
 		results = append(results, d.load(ctx, fmt.Sprintf("%s out=%t", centerName(1), out)))
 	}
 	reporter.Table(w, results)
-	return run(ctx, w, d.binaries, "lycheelift", "answers", "--limit", "5", "--control", strings.Join(d.operators, ","))
+	return operate(ctx, w, d.binaries, "answers", "--limit", "5", "--control", strings.Join(d.operators, ","))
 }
 
 func (d *deployment) patch(ctx context.Context, w io.Writer, base int, body []byte, reason string) error {
@@ -82,7 +82,7 @@
 	if err := os.WriteFile(path, body, 0o600); err != nil {
 		return oops.Wrap(err)
 	}
-	return run(ctx, w, d.binaries, "lycheelift", "patch", path, "--base", fmt.Sprint(base), "--author", "demo", "--reason", reason,
+	return operate(ctx, w, d.binaries, "patch", path, "--base", fmt.Sprint(base), "--author", "demo", "--reason", reason,
 		"--control", strings.Join(d.operators, ","))
 }
 
