--- a/lib/leaser/holder.go
+++ b/lib/leaser/holder.go
@@ -66,6 +66,9 @@
 	// unwanted is since when another live host has been preferred.
 	unwanted time.Time
 	since    time.Time
+	// floor is the greatest epoch relied on; votes with a smaller one do not count, so that the epoch of a lease
+	// never falls when a vote with a great epoch ends first.
+	floor    uint64
 	yielding bool
 	gone     bool
 	owner    string
@@ -140,7 +143,7 @@
 			releases = append(releases, name)
 		case wanted && l.claimed.IsZero() && !now.Before(l.retry):
 			l.claimed = now
-			claims = append(claims, Claim{Leaf: name, Epoch: wall(now)})
+			claims = append(claims, Claim{Leaf: name, Epoch: max(wall(now), l.floor)})
 		case l.gone && l.claimed.IsZero():
 			delete(h.leaves, name)
 		}
@@ -247,7 +250,7 @@
 	quorum := len(h.cell.Granters)/2 + 1
 	var live []vote
 	for _, v := range l.grants {
-		if now.Before(v.until) {
+		if now.Before(v.until) && v.epoch >= l.floor {
 			live = append(live, v)
 		}
 	}
@@ -261,6 +264,7 @@
 		return 1
 	})
 	epoch := live[quorum-1].epoch
+	l.floor = epoch
 	live = slices.DeleteFunc(live, func(v vote) bool { return v.epoch < epoch })
 	slices.SortFunc(live, func(a, b vote) int { return b.until.Compare(a.until) })
 	return Lease{Epoch: epoch, Until: live[quorum-1].until, Since: l.since, Yielding: l.yielding || h.leaving}, true
