--- a/leafd/command/command.go
+++ b/leafd/command/command.go
@@ -60,6 +60,7 @@
 	f.IntVar(&o.behave.Bearing, "bearing", 1, "calls at one time that a cold server can bear")
 	f.IntVar(&o.behave.Warm, "warm", 0, "calls after which a cold server is warm")
 	f.BoolVar(&o.behave.Silent, "silent", false, "announce coldness as warm")
+	f.DurationVar(&o.behave.Dial, "dial", 0, "time that a new connection costs")
 	f.StringVar(&o.behave.Crash, "crash", "", "request body that crashes a server")
 	return c
 }
--- a/leafd/leaf/execute.go
+++ b/leafd/leaf/execute.go
@@ -39,15 +39,21 @@
 	defer l.mu.Unlock()
 	l.record.Calls++
 	l.record.Last = time.Now()
+	if in.GetEpoch() < l.epoch {
+		l.record.Stale++
+	}
+	l.epoch = max(l.epoch, in.GetEpoch())
 	if l.behave.Crash != "" && string(in.GetBody()) == l.behave.Crash {
 		l.record.Crashes++
+		l.active++
 		go l.crash()
-		return 0, connect.NewError(connect.CodeUnavailable, errors.New("crashed"))
+		return time.Hour, nil
 	}
 	if !l.holds(in.GetSnapshot(), in.GetShard()) {
 		return 0, refuse(in, connect.CodeFailedPrecondition, backendv1.FaultKind_FAULT_KIND_SNAPSHOT_GONE)
 	}
 	if l.state > backendv1.State_STATE_WARM {
+		l.record.Drained++
 		return 0, refuse(in, connect.CodeUnavailable, backendv1.FaultKind_FAULT_KIND_DRAINING)
 	}
 	capacity := int64(l.config.Slots)
@@ -110,6 +116,7 @@
 	l.served++
 	if l.state == backendv1.State_STATE_COLD && l.served >= l.behave.Warm {
 		l.state = backendv1.State_STATE_WARM
+		l.record.Warmed = time.Now()
 	}
 }
 
--- a/leafd/leaf/leaf.go
+++ b/leafd/leaf/leaf.go
@@ -38,6 +38,10 @@
 	Frozen bool `json:"frozen"`
 	// Mute stops announcements.
 	Mute bool `json:"mute"`
+	// Dial is the time that the server takes to accept a new connection.
+	Dial time.Duration `json:"dial"`
+	// Hush makes the connections that are open when it is raised go silent; later ones work.
+	Hush int `json:"hush"`
 }
 
 // Record is what the stand-in counted; tests compare it with what the system states.
@@ -59,7 +63,15 @@
 	Connections int64 `json:"connections"`
 	Opened      int64 `json:"opened"`
 	Most        int64 `json:"most"`
-	Crashes     int64 `json:"crashes"`
+	// Refused is the number of connections closed because the limit was reached.
+	Refused int64 `json:"refused"`
+	Crashes int64 `json:"crashes"`
+	// Stale is the number of calls under an older epoch than one seen before.
+	Stale int64 `json:"stale"`
+	// Drained is the number of calls received while draining or leaving.
+	Drained int64 `json:"drained"`
+	// Warmed is when the server last became warm.
+	Warmed time.Time `json:"warmed"`
 	// Keys counts the runs of each idempotency key.
 	Keys map[string]int `json:"keys,omitempty"`
 	// Last is when the last call arrived.
@@ -93,6 +105,7 @@
 	served      int
 	holdings    []*backendv1.Holding
 	active      int64
+	epoch       uint64
 	incarnation uint64
 	sequence    atomic.Uint64
 	server      *http.Server
@@ -123,7 +136,6 @@
 	mux := http.NewServeMux()
 	mux.Handle(backendv1connect.NewLeafServiceHandler(l))
 	server := transporter.Server(mux)
-	server.ConnState = l.count
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.address = listener.Addr().String()
@@ -134,24 +146,10 @@
 	if l.behave.Warm == 0 {
 		l.state = backendv1.State_STATE_WARM
 	}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(&gate{Listener: listener, leaf: l}) }()
 	return nil
 }
 
-func (l *Leaf) count(_ net.Conn, state http.ConnState) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		l.record.Opened++
-		l.record.Connections++
-		l.record.Most = max(l.record.Most, l.record.Connections)
-	case http.StateClosed, http.StateHijacked:
-		l.record.Connections--
-	case http.StateActive, http.StateIdle:
-	}
-}
-
 // Set changes the behaviour.
 func (l *Leaf) Set(f func(*Behaviour)) {
 	l.mu.Lock()
