Check only the entries that a patch touches

Cause: a patch at the design size (450 hosts) took 25.6 ms to apply, because the generated decoder compiles its patterns for each host.

Change: the schema check and the decoding run on the touched entries; references between entries are checked over the whole document. A section that grows is checked whole. A property test compares the verdict with a check of the whole document. Decoding stays part of the check: the schema accepts 2.0 as an integer and the decoder of entry hosts does not.

--- a/lib/configurator/check.go
+++ b/lib/configurator/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"errors"
 	"net/netip"
 	"slices"
@@ -27,6 +28,62 @@
 	return append(faults, references(tree)...), nil
 }
 
+// checkChange lists the faults of a document that a change makes out of a checked one. Only the entries that the
+// change touches are checked against the schema and decoded, because an entry's validity depends on nothing else:
+// at 450 hosts this takes a tenth of the whole check, and a restart repeats it for each change since the snapshot.
+// A section that grows is checked whole, since the schema bounds its size.
+func checkChange(before, after, change map[string]any) (checker.Faults, error) {
+	touched := make(map[string]any)
+	for section, value := range change {
+		entries, ok := after[section].(map[string]any)
+		if !ok || len(entries) > len(object(before[section])) {
+			return checkWhole(after)
+		}
+		part := make(map[string]any)
+		for name := range object(value) {
+			if entry, ok := entries[name]; ok {
+				part[name] = entry
+			}
+		}
+		touched[section] = part
+	}
+	faults, err := checkSchema(touched)
+	if err != nil || len(faults) > 0 {
+		return append(faults, references(after)...), err
+	}
+	return references(after), nil
+}
+
+// checkWhole lists the faults of a whole document.
+func checkWhole(tree map[string]any) (checker.Faults, error) {
+	faults, err := checkSchema(tree)
+	if err != nil {
+		return nil, err
+	}
+	return append(faults, references(tree)...), nil
+}
+
+// checkSchema checks a document against the schema, and decodes it as entry hosts will.
+func checkSchema(tree map[string]any) (checker.Faults, error) {
+	data, err := encode(tree)
+	if err != nil {
+		return nil, err
+	}
+	var faults checker.Faults
+	if err := checker.Document(documentName, checker.Configuration, data); err != nil {
+		if errors.As(err, &faults) {
+			return faults, nil
+		}
+		return nil, err
+	}
+	var document Document
+	if err := json.Unmarshal(data, &document.Configuration); err != nil {
+		// The schema counts 2.0 as an integer; the decoder of entry hosts does not.
+		return checker.Faults{{File: documentName, Text: "cannot be decoded: " + err.Error()}}, nil
+	}
+	return nil, nil
+}
+
 // references finds hosts of unknown data centres and addresses that are malformed or used twice. It reads the
 // undecoded tree, so that these faults are listed beside those of the schema.
 func references(tree map[string]any) checker.Faults {
--- a/lib/configurator/machine.go
+++ b/lib/configurator/machine.go
@@ -142,13 +142,7 @@
 		}
 		return result, nil, nil
 	}
-	tree, document, err := m.merged(p)
-	if err != nil {
-		result.Verdict = statev1.Verdict_VERDICT_INVALID
-		result.Faults = texts(err)
-		return result, nil, nil
-	}
-	change, err := encode(difference(m.history.tree, tree))
+	tree, document, change, err := m.merged(p)
 	if err != nil {
 		result.Verdict = statev1.Verdict_VERDICT_INVALID
 		result.Faults = texts(err)
@@ -163,23 +157,27 @@
 	}, tree
 }
 
-// merged returns the document that a patch makes, checked whole.
-func (m *Machine) merged(p *statev1.Patch) (map[string]any, []byte, error) {
-	tree, err := m.change(p)
-	if err != nil {
-		return nil, nil, err
+// merged returns the checked document that a patch makes, as a tree and encoded, and the change that it is.
+func (m *Machine) merged(p *statev1.Patch) (tree map[string]any, document, change []byte, err error) {
+	if tree, err = m.change(p); err != nil {
+		return nil, nil, nil, err
 	}
-	document, err := encode(tree)
-	if err != nil {
-		return nil, nil, err
+	if document, err = encode(tree); err != nil {
+		return nil, nil, nil, err
 	}
 	if len(document) > maxDocument {
-		return nil, nil, oops.In("configurator").Errorf("the document would have %d bytes; at most %d are permitted", len(document), maxDocument)
+		return nil, nil, nil, oops.In("configurator").Errorf("the document would have %d bytes; at most %d are permitted", len(document), maxDocument)
+	}
+	step := difference(m.history.tree, tree)
+	faults, err := checkChange(m.history.tree, tree, step)
+	if err != nil {
+		return nil, nil, nil, err
 	}
-	if _, err := Parse(document); err != nil {
-		return nil, nil, err
+	if len(faults) > 0 {
+		return nil, nil, nil, faults
 	}
-	return tree, document, nil
+	change, err = encode(step)
+	return tree, document, change, err
 }
 
 func (m *Machine) change(p *statev1.Patch) (map[string]any, error) {
--- a/lib/configurator/merge.go
+++ b/lib/configurator/merge.go
@@ -75,6 +75,8 @@
 		inner, isObject := value.(map[string]any)
 		oldInner, wasObject := old.(map[string]any)
 		switch {
+		case isObject && wasObject && same(oldInner, inner):
+			// A merge shares the parts that it leaves as they are; at 450 hosts comparing them costs more than the rest.
 		case isObject && wasObject:
 			if d := difference(oldInner, inner); len(d) > 0 {
 				out[key] = d
@@ -85,3 +87,8 @@
 	}
 	return out
 }
+
+// same reports whether two objects are one map.
+func same(a, b map[string]any) bool {
+	return reflect.ValueOf(a).Pointer() == reflect.ValueOf(b).Pointer()
+}
--- a/lib/configurator/property_test.go
+++ b/lib/configurator/property_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	jsonpatch "github.com/evanphx/json-patch/v5"
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
@@ -86,13 +87,14 @@
 		`{"centers":{"gal-1":{"region":"gal"}}}`, `{"centers":{"gal-1":{"region":"gal","out":true}}}`,
 		`{"centers":{"gal-2":{"region":"gal"}}}`, `{"centers":{"gal-1":null}}`, `{"centers":null}`,
 		`{"services":{"desk":{"hedge":0.05}}}`, `{"services":{"desk":{"tenants":{}}}}`, `{"services":{"desk":null}}`,
-		`{"hosts":{"a":{"center":"gal-1","address":"10.0.0.1:1"}}}`, `{"hosts":null}`, `{"zone":1}`, `{`, `[]`, `{}`,
+		`{"hosts":{"a":{"center":"gal-1","address":"10.0.0.1:1"}}}`, `{"hosts":null}`, `{"hosts":{"a":{"center":"gal-2"}}}`, `{"services":{"desk":{"slots":2.0}}}`, `{"centers":3}`, `{"centers":{"gal-1":3}}`, `{"zone":1}`, `{`, `[]`, `{}`,
 	}).Draw(t, "body"))
 	return p
 }
 
 func (w *model) apply(t *rapid.T, m *configurator.Machine, p *statev1.Patch) {
 	before := m.Current().GetNumber()
+	document := m.Current().GetDocument()
 	result := m.Apply(p, start.Add(time.Second))
 	after := m.Current().GetNumber()
 	first, seen := w.patches[p.GetId()]
@@ -110,6 +112,17 @@
 	accepted := result.GetVerdict() == statev1.Verdict_VERDICT_ACCEPTED
 	assert(t, accepted, qt.Equals, after == before+1)
 	assert(t, p.GetBase() != before, qt.Equals, result.GetVerdict() == statev1.Verdict_VERDICT_CONFLICT)
+	if accepted {
+		_, err := configurator.Parse(m.Current().GetDocument())
+		assert(t, err, qt.IsNil)
+	}
+	if result.GetVerdict() == statev1.Verdict_VERDICT_INVALID && p.GetRollback() == 0 {
+		// The check of a change must not refuse what a check of the whole document accepts.
+		if whole, err := jsonpatch.MergePatch(document, p.GetBody()); err == nil {
+			_, err = configurator.Parse(whole)
+			assert(t, err, qt.IsNotNil)
+		}
+	}
 	if accepted {
 		w.documents = append(w.documents, string(m.Current().GetDocument()))
 	}
