Complete the operators' commands

Cause: operators could only patch and show; a conflict exited with 0, and an error did not say what to do next.

Exit codes tell conflict and unreachable control hosts apart; errors name the next step. out and in submit again when a conflict comes from a change of something else.

--- a/lib/commander/commander.go
+++ b/lib/commander/commander.go
@@ -50,18 +50,41 @@
 
 // Exit writes an error for the operator and returns the exit code that belongs to it.
 func Exit(err error) int {
-	if err == nil {
-		return ExitDone
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
 	}
-	fmt.Fprintln(os.Stderr, err)
+	return Code(err)
+}
+
+// Code returns the exit code that belongs to an error.
+func Code(err error) int {
+	var coded *CodeError
 	var faults checker.Faults
 	var usage *UsageError
-	if errors.As(err, &faults) || errors.As(err, &usage) {
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &coded):
+		return coded.Code
+	case errors.As(err, &faults) || errors.As(err, &usage):
 		return ExitUsage
+	default:
+		return ExitFailed
 	}
-	return ExitFailed
 }
 
+// CodeError is an error with an exit code of its own.
+type CodeError struct {
+	Code int
+	Err  error
+}
+
+// Error returns the text of the wrapped error.
+func (e *CodeError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the wrapped error.
+func (e *CodeError) Unwrap() error { return e.Err }
+
 // UsageError is a command line that cannot be understood.
 type UsageError struct{ Err error }
 
--- a/lycheelift/command/patch.go
+++ b/lycheelift/command/patch.go
@@ -1,83 +1,95 @@
 package command
 
 import (
-	"context"
-	"crypto/rand"
-	"fmt"
-	"io"
+	"encoding/json"
 	"os"
-	"os/user"
+	"strings"
 
 	"github.com/samber/oops"
 	"github.com/spf13/cobra"
 
-	operatorv1 "lycheelift.example/schema/gen/lycheelift/operator/v1"
-	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // newPatch submits a change against a numbered version.
 func newPatch(s *shared) *cobra.Command {
 	p := &statev1.Patch{}
+	var sets []string
 	c := &cobra.Command{
-		Use:     "patch FILE",
-		Short:   "Submit a JSON merge patch against a numbered version",
-		Example: "  lycheelift patch out.json --base 7 --reason 'power work in gal-2' --control 127.0.0.1:7400",
-		Args:    cobra.ExactArgs(1),
+		Use:   "patch [FILE]",
+		Short: "Submit a JSON merge patch against a numbered version",
+		Long: "Submit a JSON merge patch (RFC 7396), from a file, from --set flags or both.\n" +
+			"The patch is checked whole and every fault is listed. Without --base it builds on the newest version.",
+		Example: "  lycheelift patch change.json --base 7 --reason 'new host' --control 127.0.0.1:7400\n" +
+			"  lycheelift patch --set services.desk.hedge=0.04 --dry --control 127.0.0.1:7400\n" +
+			"  lycheelift patch --set hosts.entry-9=null --reason 'entry-9 is gone' --control 127.0.0.1:7400",
+		Args: arguments(cobra.MaximumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			body, err := os.ReadFile(args[0])
+			body, err := patchBody(args, sets)
 			if err != nil {
-				return oops.Wrapf(err, "read the patch")
+				return err
 			}
 			p.Body = body
-			if p.GetId() == "" {
-				p.Id = rand.Text()
-			}
 			result, err := s.submit(cmd.Context(), p)
 			if err != nil {
 				return err
 			}
-			return s.print(cmd.OutOrStdout(), result, func(w io.Writer) { printResult(w, result) })
+			return s.report(cmd.OutOrStdout(), p, result)
 		},
 	}
-	f := c.Flags()
-	f.Uint64Var(&p.Base, "base", 0, "version that the patch builds on")
-	f.StringVar(&p.Id, "id", "", "patch identity; give the same one to resend")
-	f.StringVar(&p.Author, "author", login(), "author of the patch")
-	f.StringVar(&p.Reason, "reason", "", "reason for the change")
-	f.BoolVar(&p.Dry, "dry", false, "decide the patch without applying it")
+	signature(c, p)
+	c.Flags().BoolVar(&p.Dry, "dry", false, "decide the patch without applying it")
+	c.Flags().StringArrayVar(&sets, "set", nil, "path=value; the value is JSON, or text when it is not JSON; null removes")
 	return c
 }
 
-func login() string {
-	u, err := user.Current()
-	if err != nil {
-		return ""
+// patchBody builds the merge patch from the file and the --set flags, which win.
+func patchBody(args, sets []string) ([]byte, error) {
+	if len(args) == 0 && len(sets) == 0 {
+		return nil, usage("give a FILE or at least one --set")
 	}
-	return u.Username
-}
-
-// submit tries each control host in turn; the patch's identity makes that safe.
-func (s *shared) submit(ctx context.Context, p *statev1.Patch) (*statev1.PatchResult, error) {
-	err := oops.Errorf("--control is required")
-	for _, address := range s.control {
-		request, cancel := context.WithTimeout(ctx, s.timeout)
-		out, e := operatorv1connect.NewOperatorServiceClient(s.client, "http://"+address).Patch(request, &operatorv1.PatchRequest{Patch: p})
-		cancel()
-		if e == nil {
-			return out.GetResult(), nil
+	if len(sets) == 0 {
+		body, err := os.ReadFile(args[0])
+		return body, oops.Wrapf(err, "read the patch")
+	}
+	tree := make(map[string]any)
+	if len(args) > 0 {
+		body, err := os.ReadFile(args[0])
+		if err != nil {
+			return nil, oops.Wrapf(err, "read the patch")
+		}
+		if err := json.Unmarshal(body, &tree); err != nil {
+			return nil, usage("%s is not a JSON object: %s", args[0], err)
+		}
+	}
+	for _, set := range sets {
+		if err := assign(tree, set); err != nil {
+			return nil, err
 		}
-		err = oops.Wrapf(e, "control host %s", address)
 	}
-	return nil, err
+	out, err := json.Marshal(tree)
+	return out, oops.Wrap(err)
 }
 
-func printResult(w io.Writer, r *statev1.PatchResult) {
-	fmt.Fprintf(w, "%s  version %d\n", r.GetVerdict(), r.GetVersion())
-	for _, f := range r.GetFaults() {
-		fmt.Fprintf(w, "  %s\n", f)
+// assign puts the value of one --set flag into the patch.
+func assign(tree map[string]any, set string) error {
+	path, text, ok := strings.Cut(set, "=")
+	if !ok || path == "" {
+		return usage("--set must be path=value, not %q", set)
 	}
-	if len(r.GetDifference()) > 0 {
-		fmt.Fprintf(w, "  difference: %s\n", r.GetDifference())
+	var value any
+	if err := json.Unmarshal([]byte(text), &value); err != nil {
+		value = text
+	}
+	keys := strings.Split(path, ".")
+	for _, key := range keys[:len(keys)-1] {
+		inner, ok := tree[key].(map[string]any)
+		if !ok {
+			inner = make(map[string]any)
+			tree[key] = inner
+		}
+		tree = inner
 	}
+	tree[keys[len(keys)-1]] = value
+	return nil
 }
--- a/lycheelift/command/print.go
+++ b/lycheelift/command/print.go
@@ -1,8 +1,12 @@
 package command
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
+	"text/tabwriter"
 
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -17,18 +21,45 @@
 
 // print writes a message as JSON, or as the table that render makes.
 func (s *shared) print(w io.Writer, m proto.Message, render func(io.Writer)) error {
-	switch s.output {
-	case outputJSON:
-		data, err := protojson.Marshal(m)
-		if err != nil {
-			return oops.Wrapf(err, "format the reply")
-		}
-		_, err = fmt.Fprintln(w, string(data))
-		return oops.Wrap(err)
-	case outputTable:
+	if s.output == outputTable {
 		render(w)
 		return nil
-	default:
-		return oops.Errorf("--output must be %s or %s", outputTable, outputJSON)
 	}
+	data, err := protojson.Marshal(m)
+	if err != nil {
+		return oops.Wrapf(err, "format the reply")
+	}
+	var out bytes.Buffer // protojson varies its spaces on purpose; scripts get one form.
+	if err := json.Compact(&out, data); err != nil {
+		return oops.Wrapf(err, "format the reply")
+	}
+	_, err = fmt.Fprintln(w, out.String())
+	return oops.Wrap(err)
+}
+
+// table writes rows in columns.
+func table(w io.Writer, rows [][]string) {
+	const gap = 2
+	columns := tabwriter.NewWriter(w, 0, 0, gap, ' ', 0)
+	for _, r := range rows {
+		fmt.Fprintln(columns, strings.Join(r, "\t"))
+	}
+	_ = columns.Flush()
+}
+
+// indent formats a JSON document for reading.
+func indent(data []byte) string {
+	var out bytes.Buffer
+	if err := json.Indent(&out, data, "", "  "); err != nil {
+		return string(data)
+	}
+	return out.String()
+}
+
+// dash stands for an empty cell.
+func dash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
 }
--- a/lycheelift/command/root.go
+++ b/lycheelift/command/root.go
@@ -26,22 +26,47 @@
 	silenceAnswer = 2 * time.Second
 )
 
+const long = `Operate lycheelift and read what it answered.
+
+Exit codes:
+  0  done
+  1  failed: the text says why
+  2  wrong usage, or faults in a settings file or patch: each is listed
+  3  conflict: the configuration has changed since the base version
+  4  no control host or entry host could be reached, or none answered in time`
+
 // New returns the root command.
 func New() *cobra.Command {
 	s := &shared{client: transporter.Client(transporter.Silence{Idle: silenceIdle, Answer: silenceAnswer})}
 	root := &cobra.Command{
-		Use:           "lycheelift",
-		Short:         "Operate lycheelift and read what it answered",
-		Example:       "  lycheelift show --control 127.0.0.1:7400",
-		SilenceUsage:  true,
-		SilenceErrors: true,
+		Use:               "lycheelift",
+		Short:             "Operate lycheelift and read what it answered",
+		Long:              long,
+		Example:           "  lycheelift show --control 127.0.0.1:7400\n  lycheelift out gal-2 --reason 'power work' --control 127.0.0.1:7400,127.0.0.2:7400",
+		SilenceUsage:      true,
+		SilenceErrors:     true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+		PersistentPreRunE: func(*cobra.Command, []string) error { return s.check() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &commander.UsageError{Err: err} })
 	f := root.PersistentFlags()
-	f.StringSliceVar(&s.control, "control", nil, "operators' addresses of control hosts")
+	f.StringSliceVar(&s.control, "control", nil, "operators' addresses of control hosts, separated by commas")
 	f.StringVar(&s.entry, "entry", "", "callers' address of an entry host")
-	f.StringVar(&s.output, "output", "table", "table or json")
-	f.DurationVar(&s.timeout, "timeout", 5*time.Second, "longest wait for a reply")
-	root.AddCommand(newAsk(s), newPatch(s), newShow(s))
+	f.StringVar(&s.output, "output", outputTable, "table or json")
+	f.DurationVar(&s.timeout, "timeout", 5*time.Second, "longest wait for the reply of one host")
+	root.AddCommand(
+		newAsk(s), newPatch(s), newDifference(s), newHistory(s), newShow(s), newRollback(s), newOut(s), newIn(s),
+		newStatus(s), newMember(s), newSettings(s), newCompletion(),
+	)
 	return root
 }
+
+// arguments reports a wrong number of arguments as wrong usage.
+func arguments(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := check(cmd, args); err != nil {
+			return usage("%s; see %s --help", err, cmd.CommandPath())
+		}
+		return nil
+	}
+}
--- a/lycheelift/command/show.go
+++ b/lycheelift/command/show.go
@@ -5,11 +5,9 @@
 	"fmt"
 	"io"
 
-	"github.com/samber/oops"
 	"github.com/spf13/cobra"
 
 	operatorv1 "lycheelift.example/schema/gen/lycheelift/operator/v1"
-	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
 )
 
 // newShow prints one version of the configuration.
@@ -18,24 +16,21 @@
 	c := &cobra.Command{
 		Use:     "show",
 		Short:   "Print a version of the configuration",
-		Example: "  lycheelift show --version 7 --control 127.0.0.1:7400",
-		Args:    cobra.NoArgs,
+		Example: "  lycheelift show --control 127.0.0.1:7400\n  lycheelift show --version 7 --output json --control 127.0.0.1:7400",
+		Args:    arguments(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			err := oops.Errorf("--control is required")
-			for _, address := range s.control {
-				ctx, cancel := context.WithTimeout(cmd.Context(), s.timeout)
-				out, e := operatorv1connect.NewOperatorServiceClient(s.client, "http://"+address).Show(ctx, in)
-				cancel()
-				if e != nil {
-					err = oops.Wrapf(e, "control host %s", address)
-					continue
-				}
-				return s.print(cmd.OutOrStdout(), out, func(w io.Writer) {
-					v := out.GetVersion()
-					fmt.Fprintf(w, "version %d  author %s  reason %s\n%s\n", v.GetNumber(), v.GetAuthor(), v.GetReason(), v.GetDocument())
-				})
+			var out *operatorv1.ShowResponse
+			err := s.each(cmd.Context(), func(ctx context.Context, c operators) (err error) {
+				out, err = c.Show(ctx, in)
+				return err
+			})
+			if err != nil {
+				return err
 			}
-			return err
+			return s.print(cmd.OutOrStdout(), out, func(w io.Writer) {
+				v := out.GetVersion()
+				fmt.Fprintf(w, "version %d  author %s  reason %s\n%s\n", v.GetNumber(), dash(v.GetAuthor()), dash(v.GetReason()), indent(v.GetDocument()))
+			})
 		},
 	}
 	c.Flags().Uint64Var(&in.Version, "version", 0, "version wanted; the newest when 0")
