--- a/controld/replica/dialer.go
+++ b/controld/replica/dialer.go
@@ -20,8 +20,9 @@
 	connectTimeout = 200 * time.Millisecond
 	// inTransit bounds the messages to one host that are not answered yet; more are dropped, as a network may.
 	inTransit = 32
-	// keepaliveTime is the least that gRPC servers permit by default without calls in progress.
-	keepaliveTime   = 10 * time.Second
+	// keepaliveTime is the silence after which a connection with calls in progress is probed.
+	keepaliveTime = 10 * time.Second
+	// keepaliveAnswer is the time in which the probe must be answered.
 	keepaliveAnswer = time.Second
 )
 
--- a/controld/replica/propose.go
+++ b/controld/replica/propose.go
@@ -58,7 +58,9 @@
 // proposeLocal records a command if this host is the leader, else it returns ErrNoLeader.
 func (r *Replica) proposeLocal(ctx context.Context, c *statev1.Command) (*statev1.Result, error) {
 	p := proposal{command: c, done: make(chan outcome, 1)}
-	if err := r.do(ctx, func() { r.enqueue(p) }); err != nil {
+	if err := r.do(ctx, func() { r.enqueue(p) }); errors.Is(err, ErrStopped) {
+		return nil, err
+	} else if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNoLeader, err)
 	}
 	select {
--- a/lib/replicator/replicator.go
+++ b/lib/replicator/replicator.go
@@ -160,6 +160,9 @@
 	}
 	r.handed, r.persisted = r.log.last(), r.log.last()
 	r.resetElection(now)
+	if r.voter() && r.quorum(func(host string) bool { return host == c.Host }) {
+		r.electionAt = now // The only voter has no other leader to wait for.
+	}
 	return r
 }
 
