--- a/lib/leaser/granter.go
+++ b/lib/leaser/granter.go
@@ -81,14 +81,14 @@
 		out.Denied = append(out.Denied, Denial{Leaf: c.Leaf})
 		return
 	}
-	epoch := c.Epoch
+	// A claim may be delayed, so its epoch may be older than a lease that ended since; a new grant therefore also
+	// counts from this granter's own clock, which a restart does not set back.
+	epoch := max(c.Epoch, g.base+1, wall(now))
 	switch {
 	case held:
-		epoch = max(epoch, entry.epoch)
+		epoch = max(c.Epoch, entry.epoch)
 	case ok:
 		epoch = max(epoch, entry.epoch+1)
-	default:
-		epoch = max(epoch, g.base+1)
 	}
 	sequence, until := r.Sequence, now.Add(Term)
 	if held {
--- a/lib/leaser/holder.go
+++ b/lib/leaser/holder.go
@@ -15,6 +15,9 @@
 	// retryLeast and retrySpread bound the random time between two claims.
 	retryLeast  = 100 * time.Millisecond
 	retrySpread = 400 * time.Millisecond
+	// lead is added to the clock in a new claim's epoch, so that granters whose clocks are a little ahead store the
+	// epoch as it is and one round is enough.
+	lead = 100 * time.Millisecond
 	// settle is how long the preferred host must be alive before a leaf is handed back to it, so that a host that
 	// restarts repeatedly does not move its leaves each time.
 	settle = 5 * time.Second
@@ -66,9 +69,11 @@
 	// unwanted is since when another live host has been preferred.
 	unwanted time.Time
 	since    time.Time
-	// floor is the greatest epoch relied on; votes with a smaller one do not count, so that the epoch of a lease
-	// never falls when a vote with a great epoch ends first.
-	floor    uint64
+	// epoch and until are those of the last lease; the lease lasts while until has not passed.
+	epoch uint64
+	until time.Time
+	// raised says that the granters were asked again to store one common epoch.
+	raised   bool
 	yielding bool
 	gone     bool
 	owner    string
@@ -93,7 +98,7 @@
 	if group := Group(cell); group != h.group {
 		h.group = group
 		for _, l := range h.leaves {
-			l.grants = make(map[string]vote)
+			l.forget()
 			l.claimed = time.Time{}
 		}
 	}
@@ -119,6 +124,12 @@
 	}
 }
 
+// forget drops every vote; the lease has ended.
+func (l *lease) forget() {
+	l.grants = make(map[string]vote)
+	l.until = time.Time{}
+}
+
 // Tick returns the requests to send at now. Dead says which hosts are held dead.
 func (h *Holder) Tick(now time.Time, dead func(host string) bool) []Message {
 	renew := now.Sub(h.renewed) >= Renew
@@ -137,13 +148,19 @@
 			if renew {
 				claims = append(claims, Claim{Leaf: name, Epoch: current.Epoch})
 			}
+		case !l.claimed.IsZero() && !l.raised && h.splits(l, now):
+			l.raised = true
+			l.claimed = now
+			epoch, _ := l.greatest(now)
+			claims = append(claims, Claim{Leaf: name, Epoch: epoch})
 		case !l.claimed.IsZero() && now.Sub(l.claimed) >= claimTimeout:
 			l.claimed = time.Time{}
 			l.retry = now.Add(retryLeast + time.Duration(h.random.Int64N(int64(retrySpread))))
 			releases = append(releases, name)
 		case wanted && l.claimed.IsZero() && !now.Before(l.retry):
 			l.claimed = now
-			claims = append(claims, Claim{Leaf: name, Epoch: max(wall(now), l.floor)})
+			l.raised = false
+			claims = append(claims, Claim{Leaf: name, Epoch: wall(now.Add(lead))})
 		case l.gone && l.claimed.IsZero():
 			delete(h.leaves, name)
 		}
@@ -152,6 +169,12 @@
 	return append(out, h.send(h.cell.Granters, nil, claims, now)...)
 }
 
+// splits reports whether a majority has granted a leaf, but with different epochs.
+func (h *Holder) splits(l *lease, now time.Time) bool {
+	_, votes := l.greatest(now)
+	return votes > len(h.cell.Granters)/2
+}
+
 // decide hands a leaf back after another live host has been preferred for a while.
 func (h *Holder) decide(l *lease, wanted, held bool, now time.Time) {
 	if held {
@@ -205,7 +228,7 @@
 	for _, name := range releases {
 		if l, ok := h.leaves[name]; ok {
 			l.released = h.sequence
-			l.grants = make(map[string]vote)
+			l.forget()
 		}
 	}
 	out := make([]Message, 0, len(to))
@@ -228,14 +251,11 @@
 		if !ok || m.Request.Sequence <= l.released {
 			continue
 		}
-		_, held := h.lease(l, now)
 		until := m.Sent.Add(Term - Margin)
 		if old, ok := l.grants[m.To]; !ok || until.After(old.until) {
 			l.grants[m.To] = vote{epoch: c.Epoch, until: until}
 		}
-		if _, won := h.lease(l, now); won && !held {
-			l.since = now
-		}
+		h.lease(l, now)
 	}
 	for _, d := range r.Denied {
 		if l, ok := h.leaves[d.Leaf]; ok && d.Holder != "" {
@@ -244,30 +264,42 @@
 	}
 }
 
-// lease computes the lease from the votes. Its epoch is the greatest that a majority has stored, so a later holder,
-// whose majority shares a granter with this one, gets a greater epoch.
+// lease computes the lease from the votes. A lease is won with the greatest epoch that any granter has answered, once
+// a majority has stored it: a later majority shares a granter with this one, which then answers a greater epoch.
+// While a lease lasts its epoch stays, and votes count that have stored at least this epoch.
 func (h *Holder) lease(l *lease, now time.Time) (Lease, bool) {
 	quorum := len(h.cell.Granters)/2 + 1
-	var live []vote
+	epoch := l.epoch
+	if !now.Before(l.until) {
+		epoch, _ = l.greatest(now)
+	}
+	var ends []time.Time
 	for _, v := range l.grants {
-		if now.Before(v.until) && v.epoch >= l.floor {
-			live = append(live, v)
+		if now.Before(v.until) && v.epoch >= epoch {
+			ends = append(ends, v.until)
 		}
 	}
-	if len(h.cell.Granters) == 0 || len(live) < quorum {
+	if len(h.cell.Granters) == 0 || len(ends) < quorum {
 		return Lease{}, false
 	}
-	slices.SortFunc(live, func(a, b vote) int {
-		if a.epoch > b.epoch {
-			return -1
+	slices.SortFunc(ends, func(a, b time.Time) int { return b.Compare(a) })
+	if !now.Before(l.until) {
+		l.since = now
+	}
+	l.epoch = epoch
+	l.until = ends[quorum-1]
+	return Lease{Epoch: epoch, Until: l.until, Since: l.since, Yielding: l.yielding || h.leaving}, true
+}
+
+// greatest returns the greatest epoch among the votes that hold at now, and their number.
+func (l *lease) greatest(now time.Time) (epoch uint64, votes int) {
+	for _, v := range l.grants {
+		if now.Before(v.until) {
+			epoch = max(epoch, v.epoch)
+			votes++
 		}
-		return 1
-	})
-	epoch := live[quorum-1].epoch
-	l.floor = epoch
-	live = slices.DeleteFunc(live, func(v vote) bool { return v.epoch < epoch })
-	slices.SortFunc(live, func(a, b vote) int { return b.until.Compare(a.until) })
-	return Lease{Epoch: epoch, Until: live[quorum-1].until, Since: l.since, Yielding: l.yielding || h.leaving}, true
+	}
+	return epoch, votes
 }
 
 // Lease returns the lease that this host holds on a leaf.
