--- a/entryd/server/owner_test.go
+++ b/entryd/server/owner_test.go
@@ -195,13 +195,15 @@
 		owner = k.names[k.sequence%len(k.names)]
 	}
 	k.mu.Unlock()
-	results := make(chan *peerv1.CallResult, 1)
+	results := dispatcher.NewMailbox()
+	defer results.Close()
 	k.dispatch.Send(owner, &peerv1.Call{
 		Attempt: attempt, Service: "desk", Snapshot: 1, Shard: uint32(i), Leaf: name, Body: []byte(body), Timeout: durationpb.New(timeout),
 	}, results)
 	var out *peerv1.CallResult
 	select {
-	case out = <-results:
+	case <-results.Ready():
+		out = results.Take()[0]
 	case <-time.After(timeout + 2*time.Second):
 		out = &peerv1.CallResult{Reason: callerv1.Reason_REASON_DEADLINE}
 	}
