Measure the tail with real processes

loader reads the stand-ins' records before and after a run and reports extra load, duplicates and coverage, writes JSON reports and draws their curves; several services are asked in turn. demo measure SIZE FOLDER runs three phases on a fresh deployment: without stragglers, with 1% of calls 20 times slower and no hedging, and with hedging.

--- a/demo/main.go
+++ b/demo/main.go
@@ -1,4 +1,4 @@
-// Demo runs a small deployment of three data centres on loopback and shows what it answers.
+// Demo runs a small deployment of three data centres on loopback and shows what it answers, or measures its tail.
 package main
 
 import (
@@ -11,11 +11,22 @@
 	"lycheelift.example/demo/runner"
 )
 
+// measureArgs is the number of words of "demo measure SIZE FOLDER".
+const measureArgs = 4
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if err := runner.Run(ctx, os.Stdout, "out"); err != nil {
+	err := start(ctx)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1) //nolint:gocritic // The signal handler need not be undone at the end of the process.
+		os.Exit(1)
+	}
+}
+
+func start(ctx context.Context) error {
+	if len(os.Args) == measureArgs && os.Args[1] == "measure" {
+		return runner.Measure(ctx, os.Stdout, "out", os.Args[3], os.Args[2])
 	}
+	return runner.Run(ctx, os.Stdout, "out")
 }
--- a/demo/runner/deployment.go
+++ b/demo/runner/deployment.go
@@ -27,6 +27,8 @@
 // deployment is the set of processes of the demo.
 type deployment struct {
 	binaries  string
+	each      int // entry hosts of a data centre
+	base      int // version that the next patch is made against
 	folder    string
 	hosts     []host
 	operators []string
@@ -36,9 +38,9 @@
 func centerName(i int) string { return fmt.Sprintf("center-%d", i+1) }
 
 // launch starts control hosts, entry hosts and stand-in backend servers.
-func launch(ctx context.Context, binaries, folder string) (*deployment, error) {
-	d := &deployment{binaries: binaries, folder: folder}
-	free, err := ports(2*controls + 2*centerCount*hostsEach)
+func launch(ctx context.Context, binaries, folder string, each int) (*deployment, error) {
+	d := &deployment{binaries: binaries, folder: folder, each: each, base: 1}
+	free, err := ports(2*controls + 2*centerCount*each)
 	if err != nil {
 		return nil, err
 	}
@@ -58,7 +60,7 @@
 			return d, err
 		}
 	}
-	return d, d.launchLeaves()
+	return d, nil
 }
 
 func (d *deployment) start(name, program string, args ...string) error {
@@ -96,9 +98,9 @@
 	if err != nil {
 		return oops.Wrap(err)
 	}
-	for i := range centerCount * hostsEach {
+	for i := range centerCount * d.each {
 		d.hosts = append(d.hosts, host{
-			name: fmt.Sprintf("entry-%d", i+1), center: centerName(i / hostsEach), callers: next(), peers: next(),
+			name: fmt.Sprintf("entry-%d", i+1), center: centerName(i / d.each), callers: next(), peers: next(),
 		})
 	}
 	for _, h := range d.hosts {
@@ -115,21 +117,28 @@
 	return nil
 }
 
-// launchLeaves starts one process of stand-ins per data centre, so that each announces to its own hosts.
-func (d *deployment) launchLeaves() error {
+// launchLeaves starts the process of a service's stand-ins, with one replica of each shard in each of some data centres.
+func (d *deployment) launchLeaves(service string, shards, replicas int, args ...string) error {
 	var entries, centers []string
-	for i := range centerCount {
+	for i := range replicas {
 		centers = append(centers, centerName(i))
 	}
 	for _, h := range d.hosts {
 		entries = append(entries, h.callers)
 	}
-	return d.start("leaves", "leafd", "--service", "desk", "--shards", fmt.Sprint(shards), "--replicas", fmt.Sprint(centerCount),
-		"--centers", strings.Join(centers, ","), "--entries", strings.Join(entries, ","), "--slots", "2", "--connections", "25")
+	args = append([]string{
+		"--service", service, "--shards", fmt.Sprint(shards), "--replicas", fmt.Sprint(replicas),
+		"--centers", strings.Join(centers, ","), "--entries", strings.Join(entries, ","), "--slots", "2", "--connections", "25",
+	}, args...)
+	return d.start("leaves-"+service, "leafd", args...)
 }
 
 // document returns the first configuration patch.
-func (d *deployment) document() []byte {
+func (d *deployment) document(services ...string) []byte {
+	listed := map[string]any{}
+	for _, s := range services {
+		listed[s] = map[string]any{}
+	}
 	centers := map[string]any{}
 	hosts := map[string]any{}
 	for i := range centerCount {
@@ -138,7 +147,7 @@
 	for _, h := range d.hosts {
 		hosts[h.name] = map[string]any{"center": h.center, "address": h.peers}
 	}
-	return mustJSON(map[string]any{"centers": centers, "hosts": hosts, "services": map[string]any{"desk": map[string]any{}}})
+	return mustJSON(map[string]any{"centers": centers, "hosts": hosts, "services": listed})
 }
 
 // stop stops every process, entry hosts before control hosts, and returns the first error.
--- /dev/null
+++ b/demo/runner/measure.go
@@ -0,0 +1,168 @@
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// size is a fan-out to measure.
+type size struct {
+	services int
+	shards   int
+	replicas int
+	// each is the number of entry hosts of a data centre.
+	each     int
+	rate     string
+	duration string
+	// announce is the time between announcements: with many leaves they would take up much of the machine.
+	announce string
+}
+
+// sizes holds today's services of 3 leaves, and the fan-out of the design size.
+var sizes = map[string]size{
+	"small": {services: 5, shards: 3, replicas: 3, each: 3, rate: "200", duration: "30s", announce: "500ms"},
+	"wide":  {services: 1, shards: 990, replicas: 2, each: 1, rate: "4", duration: "40s", announce: "1500ms"},
+}
+
+// straggling is 1% of calls that take 20 times as long.
+const straggling = "0.01"
+
+// Measure runs the tail measurement of one size: without stragglers, with them and no hedging, and with both.
+// Reports and a plot are written to the folder.
+func Measure(ctx context.Context, w io.Writer, binaries, folder, name string) (err error) {
+	s, ok := sizes[name]
+	if !ok {
+		return oops.Errorf("no size is named %q", name)
+	}
+	if err := os.MkdirAll(folder, 0o750); err != nil {
+		return oops.Wrap(err)
+	}
+	logs, err := os.MkdirTemp("", "lycheelift-measure-")
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	d, err := launch(ctx, binaries, logs, s.each)
+	defer func() {
+		if stopped := d.stop(); err == nil {
+			err = stopped
+		}
+		fmt.Fprintf(w, "logs are in %s\n", logs)
+	}()
+	if err != nil {
+		return err
+	}
+	m := &measurement{deployment: d, size: s, w: w, folder: folder, name: name}
+	return m.run(ctx)
+}
+
+// measurement is one size on a running deployment.
+type measurement struct {
+	*deployment
+
+	size     size
+	w        io.Writer
+	folder   string
+	name     string
+	services []string
+	records  []string
+	reports  []string
+}
+
+func (m *measurement) run(ctx context.Context) error {
+	if err := m.prepare(ctx); err != nil {
+		return err
+	}
+	for _, phase := range []struct {
+		name, slow string
+		hedge      float64
+	}{
+		{"no-stragglers", "0", 0.05}, {"stragglers-unhedged", straggling, 0}, {"stragglers-hedged", straggling, 0.05},
+	} {
+		if err := m.set(ctx, phase.slow, phase.hedge); err != nil {
+			return err
+		}
+		if err := m.drive(ctx, "warm-up", "5s"); err != nil {
+			return err
+		}
+		if err := m.drive(ctx, phase.name, m.size.duration); err != nil {
+			return err
+		}
+	}
+	args := append([]string{"plot", "--out", filepath.Join(m.folder, m.name+".png")}, m.reports...)
+	return run(ctx, m.w, m.binaries, "loader", args...)
+}
+
+// prepare starts the stand-ins and the first configuration.
+func (m *measurement) prepare(ctx context.Context) error {
+	free, err := ports(m.size.services)
+	if err != nil {
+		return err
+	}
+	for i, address := range free {
+		service := fmt.Sprintf("%s%d", m.name, i+1)
+		m.services = append(m.services, service)
+		m.records = append(m.records, address)
+		err := m.launchLeaves(service, m.size.shards, m.size.replicas,
+			"--control", address, "--announce", m.size.announce, "--latency", "2ms", "--seed", fmt.Sprint(1000*i))
+		if err != nil {
+			return err
+		}
+	}
+	if err := m.patch(ctx, m.w, m.document(m.services...), "first configuration"); err != nil {
+		return err
+	}
+	time.Sleep(2 * settle)
+	return nil
+}
+
+// set changes the part of slow calls on the stand-ins and the hedge budget in the configuration.
+func (m *measurement) set(ctx context.Context, slow string, hedge float64) error {
+	for _, address := range m.records {
+		target := "http://" + address + "/behave?set=" + url.QueryEscape(`{"slow":`+slow+`,"factor":20}`)
+		request, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+		if err != nil {
+			return oops.Wrap(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return oops.Wrap(err)
+		}
+		_ = response.Body.Close()
+	}
+	services := map[string]any{}
+	for _, s := range m.services {
+		services[s] = map[string]any{"hedge": hedge}
+	}
+	if err := m.patch(ctx, m.w, mustJSON(map[string]any{"services": services}), fmt.Sprintf("hedge %g", hedge)); err != nil {
+		return err
+	}
+	time.Sleep(settle)
+	return nil
+}
+
+// drive sends one load; only loads that are not for warming up leave a report.
+func (m *measurement) drive(ctx context.Context, name, duration string) error {
+	var entries []string
+	for _, h := range m.hosts {
+		entries = append(entries, h.callers)
+	}
+	args := []string{
+		"--name", name, "--service", strings.Join(m.services, ","), "--entries", strings.Join(entries, ","),
+		"--records", strings.Join(m.records, ","), "--shards", fmt.Sprint(m.size.shards), "--rate", m.size.rate, "--duration", duration,
+	}
+	if duration == m.size.duration {
+		report := filepath.Join(m.folder, m.name+"-"+name+".json")
+		m.reports = append(m.reports, report)
+		args = append(args, "--report", report)
+	}
+	return run(ctx, m.w, m.binaries, "loader", args...)
+}
--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return oops.Wrap(err)
 	}
-	d, err := launch(ctx, binaries, folder)
+	d, err := launch(ctx, binaries, folder, hostsEach)
 	defer func() {
 		if stopped := d.stop(); err == nil {
 			err = stopped
@@ -45,12 +45,15 @@
 	if err != nil {
 		return err
 	}
+	if err := d.launchLeaves("desk", shards, centerCount); err != nil {
+		return err
+	}
 	return d.show(ctx, w)
 }
 
 func (d *deployment) show(ctx context.Context, w io.Writer) error {
 	fmt.Fprintf(w, "%d entry hosts in %d data centres, %d control hosts, %d shards of service desk\n", len(d.hosts), centerCount, controls, shards)
-	if err := d.patch(ctx, w, 1, d.document(), "first configuration"); err != nil {
+	if err := d.patch(ctx, w, d.document("desk"), "first configuration"); err != nil {
 		return err
 	}
 	time.Sleep(settle)
@@ -60,9 +63,9 @@
 		}
 	}
 	results := []*driver.Result{d.load(ctx, "before")}
-	for version, out := range []bool{true, false} {
+	for _, out := range []bool{true, false} {
 		body := mustJSON(map[string]any{"centers": map[string]any{centerName(1): map[string]any{"out": out}}})
-		if err := d.patch(ctx, w, version+2, body, fmt.Sprintf("%s out: %t", centerName(1), out)); err != nil {
+		if err := d.patch(ctx, w, body, fmt.Sprintf("%s out: %t", centerName(1), out)); err != nil {
 			return err
 		}
 		results = append(results, d.load(ctx, fmt.Sprintf("%s out=%t", centerName(1), out)))
@@ -71,7 +74,9 @@
 	return nil
 }
 
-func (d *deployment) patch(ctx context.Context, w io.Writer, base int, body []byte, reason string) error {
+func (d *deployment) patch(ctx context.Context, w io.Writer, body []byte, reason string) error {
+	base := d.base
+	d.base++
 	path := filepath.Join(d.folder, fmt.Sprintf("patch-%d.json", base))
 	if err := os.WriteFile(path, body, 0o600); err != nil {
 		return oops.Wrap(err)
@@ -89,7 +94,7 @@
 		}
 	}
 	return driver.New().Run(ctx, driver.Load{
-		Name: name, Service: "desk", Body: "name=Lotca", Distinct: 1, Entries: entries,
+		Name: name, Services: []string{"desk"}, Body: "name=Lotca", Distinct: 1, Entries: entries,
 		Rate: rate, Duration: phase, Deadline: time.Second,
 	})
 }
--- a/leafd/command/command.go
+++ b/leafd/command/command.go
@@ -30,6 +30,7 @@
 	snapshot    uint64
 	control     string
 	seed        uint64
+	announce    time.Duration
 	behave      leaf.Behaviour
 }
 
@@ -54,6 +55,7 @@
 	f.Uint64Var(&o.snapshot, "snapshot", 1, "index snapshot")
 	f.StringVar(&o.control, "control", "127.0.0.1:0", "address for switches and records")
 	f.Uint64Var(&o.seed, "seed", 1, "seed of the random latencies")
+	f.DurationVar(&o.announce, "announce", 500*time.Millisecond, "time between two announcements of a leaf; the lease is 2s")
 	f.DurationVar(&o.behave.Latency, "latency", 2*time.Millisecond, "usual time of a call")
 	f.Float64Var(&o.behave.Slow, "slow", 0, "part of calls that are slow")
 	f.Float64Var(&o.behave.Factor, "factor", 20, "how many times longer a slow call takes")
@@ -101,6 +103,6 @@
 		Center: o.centers[replica%len(o.centers)], Service: o.service, Slots: o.slots, Connections: o.connections,
 		Holdings: []*backendv1.Holding{{Snapshot: o.snapshot, Shard: uint32(shard), Shards: uint32(o.shards)}}, //nolint:gosec // Small numbers from flags.
 		Address:  "127.0.0.1:0", Entries: o.entries, Seed: o.seed + uint64(shard*o.replicas+replica),           //nolint:gosec // Small numbers from flags.
-		Behaviour: o.behave,
+		Behaviour: o.behave, Announce: o.announce,
 	}
 }
--- a/leafd/leaf/announce.go
+++ b/leafd/leaf/announce.go
@@ -1,6 +1,7 @@
 package leaf
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -9,7 +10,7 @@
 )
 
 const (
-	// announceInterval is used until an entry host states another one.
+	// announceInterval is used when the settings name none.
 	announceInterval = 500 * time.Millisecond
 	// announceTimeout bounds one announcement.
 	announceTimeout = 300 * time.Millisecond
@@ -18,7 +19,7 @@
 // Announce tells entry hosts about the server until ctx ends; a failed announcement goes to the next host at once.
 func (l *Leaf) Announce(ctx context.Context) {
 	for next := l.offset(); ; next++ {
-		wait := announceInterval
+		wait := cmp.Or(l.config.Announce, announceInterval)
 		if l.muted() {
 			next--
 		} else {
--- a/leafd/leaf/leaf.go
+++ b/leafd/leaf/leaf.go
@@ -77,7 +77,9 @@
 	Address     string
 	Entries     []string
 	Seed        uint64
-	Behaviour   Behaviour
+	// Announce is the time between two announcements; zero means 500 ms.
+	Announce  time.Duration
+	Behaviour Behaviour
 }
 
 // Leaf is one running stand-in.
--- a/loader/command/command.go
+++ b/loader/command/command.go
@@ -5,28 +5,27 @@
 	"time"
 
 	"github.com/spf13/cobra"
-
-	"lycheelift.example/loader/driver"
-	"lycheelift.example/loader/reporter"
 )
 
 // New returns the command.
 func New() *cobra.Command {
-	load := driver.Load{}
+	o := &options{}
+	load := &o.load
 	c := &cobra.Command{
 		Use:     "loader",
 		Short:   "Send open-loop load and report latency, coverage and extra load",
 		Example: "  loader --service desk --entries 127.0.0.1:7001 --rate 200 --duration 10s",
 		Args:    cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			result := driver.New().Run(cmd.Context(), load)
-			reporter.Table(cmd.OutOrStdout(), []*driver.Result{result})
-			return nil
+			return o.run(cmd.Context(), cmd.OutOrStdout())
 		},
 	}
 	f := c.Flags()
 	f.StringVar(&load.Name, "name", "load", "label of the run")
-	f.StringVar(&load.Service, "service", "desk", "service to ask")
+	f.StringSliceVar(&load.Services, "service", []string{"desk"}, "services to ask in turn")
+	f.StringSliceVar(&o.records, "records", nil, "control addresses of stand-ins, whose records give the extra load")
+	f.IntVar(&o.shards, "shards", 3, "shards of each service, for the extra load")
+	f.StringVar(&o.report, "report", "", "file for the report as JSON")
 	f.StringVar(&load.Tenant, "tenant", "", "tenant on whose behalf to ask")
 	f.StringVar(&load.Body, "body", "question", "body of the queries")
 	f.IntVar(&load.Distinct, "distinct", 1, "number of different bodies")
@@ -36,5 +35,6 @@
 	f.DurationVar(&load.Deadline, "deadline", time.Second, "deadline of a query")
 	f.Float64Var(&load.Least, "least", 0, "least coverage accepted, 0 to 1")
 	_ = c.MarkFlagRequired("entries")
+	c.AddCommand(newPlot())
 	return c
 }
--- a/loader/driver/driver.go
+++ b/loader/driver/driver.go
@@ -27,10 +27,11 @@
 // Load describes the load of one run.
 type Load struct {
 	// Name labels the run in the report.
-	Name    string
-	Service string
-	Tenant  string
-	Body    string
+	Name string
+	// Services are asked in turn.
+	Services []string
+	Tenant   string
+	Body     string
 	// Distinct is the number of different bodies in turn; 1 sends Body as it is.
 	Distinct int
 	Entries  []string
@@ -114,7 +115,7 @@
 		body = fmt.Sprintf("%s-%d", load.Body, n%int64(load.Distinct))
 	}
 	id := fmt.Sprintf("%s-%d", load.Name, n)
-	out, err := client.Query(ctx, &callerv1.QueryRequest{Id: id, Service: load.Service, Body: []byte(body), Least: load.Least, Tenant: load.Tenant})
+	out, err := client.Query(ctx, &callerv1.QueryRequest{Id: id, Service: load.Services[int(n)%len(load.Services)], Body: []byte(body), Least: load.Least, Tenant: load.Tenant})
 	r.note(id, out, err, time.Since(due))
 }
 
