--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return oops.Wrap(err)
 	}
-	d, err := launch(ctx, binaries, folder)
+	d, err := launch(ctx, binaries, folder, hostsEach)
 	defer func() {
 		if stopped := d.stop(); err == nil {
 			err = stopped
@@ -46,43 +46,48 @@
 	if err != nil {
 		return err
 	}
+	if err := d.launchLeaves("desk", shards, centerCount); err != nil {
+		return err
+	}
 	return d.show(ctx, w)
 }
 
 func (d *deployment) show(ctx context.Context, w io.Writer) error {
 	fmt.Fprintf(w, "%d entry hosts in %d data centres, %d control hosts, %d shards of service desk\n", len(d.hosts), centerCount, controls, shards)
-	if err := d.patch(ctx, w, 1, d.document(), "first configuration"); err != nil {
+	if err := d.patch(ctx, w, d.document("desk"), "first configuration"); err != nil {
 		return err
 	}
 	time.Sleep(settle)
 	for _, question := range []string{"name=Lotca", "name=Sirena", "tag=4711"} {
-		if err := operate(ctx, w, d.binaries, "ask", "desk", question, "--least", "1", "--entry", d.hosts[0].callers); err != nil {
+		if err := run(ctx, w, d.binaries, "lycheelift", "ask", "desk", question, "--least", "1", "--entry", d.hosts[0].callers); err != nil {
 			return err
 		}
 	}
 	for range 2 {
-		if err := operate(ctx, w, d.binaries, "ask", "desk", "stamp=licence-17", "--key", "licence-17", "--issued", time.Now().Format(time.DateOnly)+"T00:00:00Z", "--entry", d.hosts[1].callers); err != nil {
+		if err := run(ctx, w, d.binaries, "lycheelift", "ask", "desk", "stamp=licence-17", "--key", "licence-17", "--issued", time.Now().Format(time.DateOnly)+"T00:00:00Z", "--entry", d.hosts[1].callers); err != nil {
 			return err
 		}
 	}
 	results := []*driver.Result{d.load(ctx, "before")}
-	for version, out := range []bool{true, false} {
+	for _, out := range []bool{true, false} {
 		body := mustJSON(map[string]any{"centers": map[string]any{centerName(1): map[string]any{"out": out}}})
-		if err := d.patch(ctx, w, version+2, body, fmt.Sprintf("%s out: %t", centerName(1), out)); err != nil {
+		if err := d.patch(ctx, w, body, fmt.Sprintf("%s out: %t", centerName(1), out)); err != nil {
 			return err
 		}
 		results = append(results, d.load(ctx, fmt.Sprintf("%s out=%t", centerName(1), out)))
 	}
 	reporter.Table(w, results)
-	return operate(ctx, w, d.binaries, "answers", "--limit", "5", "--control", strings.Join(d.operators, ","))
+	return run(ctx, w, d.binaries, "lycheelift", "answers", "--limit", "5", "--control", strings.Join(d.operators, ","))
 }
 
-func (d *deployment) patch(ctx context.Context, w io.Writer, base int, body []byte, reason string) error {
+func (d *deployment) patch(ctx context.Context, w io.Writer, body []byte, reason string) error {
+	base := d.base
+	d.base++
 	path := filepath.Join(d.folder, fmt.Sprintf("patch-%d.json", base))
 	if err := os.WriteFile(path, body, 0o600); err != nil {
 		return oops.Wrap(err)
 	}
-	return operate(ctx, w, d.binaries, "patch", path, "--base", fmt.Sprint(base), "--author", "demo", "--reason", reason,
+	return run(ctx, w, d.binaries, "lycheelift", "patch", path, "--base", fmt.Sprint(base), "--author", "demo", "--reason", reason,
 		"--control", strings.Join(d.operators, ","))
 }
 
@@ -95,7 +100,7 @@
 		}
 	}
 	return driver.New().Run(ctx, driver.Load{
-		Name: name, Service: "desk", Body: "name=Lotca", Distinct: 1, Entries: entries,
+		Name: name, Services: []string{"desk"}, Body: "name=Lotca", Distinct: 1, Entries: entries,
 		Rate: rate, Duration: phase, Deadline: time.Second,
 	})
 }
