--- a/controld/server/server.go
+++ b/controld/server/server.go
@@ -106,7 +106,7 @@
 	mux.Handle(operatorv1connect.NewOperatorServiceHandler(operator.New(served, group{r}, record, clock),
 		connect.WithInterceptors(authorizer.Interceptor(access)), connect.WithReadMaxBytes(maxRequest)))
 	operators := transporter.Server(authorizer.Handler(mux, security.Open()))
-	peers := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), security.ServerOption())
+	peers := security.GRPCServer(grpc.MaxRecvMsgSize(maxMessage))
 	peerv1.RegisterControlServiceServer(peers, keeper.New(served, record, clock))
 	peerv1.RegisterReplicaServiceServer(peers, r.Service())
 	operatorListener, err := transporter.Listen(ctx, s.Listen.Operators)
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -58,6 +58,7 @@
 	meter      *meter
 	gate       gate
 	dial       *peerer.Dialer
+	wire       *peerer.Wire
 	dispatch   *dispatcher.Dispatcher
 	callers    *http.Server
 	peers      *grpc.Server
@@ -81,7 +82,8 @@
 		follow: follower.New(now, follower.WithHost(s.Name, s.Center), follower.WithClock(clock)),
 	}
 	counter := peerer.NewCounter(out.export.Scope)
-	out.dial = peerer.NewDialer(out.follow, security.Conns(grpc.WithStatsHandler(counter)))
+	out.wire = peerer.NewWire(out.export.Scope)
+	out.dial = peerer.NewDialer(out.follow, security.Conns(grpc.WithStatsHandler(counter), grpc.WithContextDialer(out.wire.Dial)))
 	incarnation := uint64(now.UnixNano())
 	out.execute = executor.New(s.Name, s.Center, table, out.follow, clock, executor.WithScope(out.export.Scope.SubScope("owner")))
 	out.meter = &meter{next: out.execute, clock: clock}
@@ -109,7 +111,7 @@
 	mux.Handle("GET /metrics", out.export.Handler)
 	mux.HandleFunc("GET /ready", out.serveReady)
 	out.callers = transporter.Server(authorizer.Handler(mux, security.Open()))
-	out.peers = grpc.NewServer(grpc.StatsHandler(counter), security.ServerOption())
+	out.peers = security.GRPCServer(grpc.StatsHandler(counter))
 	peerv1.RegisterPeerServiceServer(out.peers, peers{
 		peerer.New(out.meter, out.probe, out.sync, out.hold, table, out.follow, clock), isolate,
 	})
@@ -170,7 +172,7 @@
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- s.security.Serve(s.callers, callers) }()
-	go func() { failed <- s.peers.Serve(peers) }()
+	go func() { failed <- s.peers.Serve(s.wire.Listener(peers)) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	s.background = stop
--- a/lib/transporter/conns.go
+++ b/lib/transporter/conns.go
@@ -19,6 +19,11 @@
 	// 1 s to 2 min, would keep a restarted host from being probed for longer than the detector takes.
 	reconnectFirst = 50 * time.Millisecond
 	reconnectMost  = time.Second
+	// window is the flow control window of a stream, in bytes. A fixed size turns off the estimation of bandwidth,
+	// which sends a ping with every message.
+	window = 1 << 20
+	// connWindow is the flow control window of a connection, in bytes.
+	connWindow = 4 << 20
 )
 
 // Conns holds one gRPC connection per address. It is safe for concurrent use.
@@ -33,6 +38,7 @@
 func (s *Security) Conns(options ...grpc.DialOption) *Conns {
 	base := []grpc.DialOption{
 		s.DialOption(),
+		grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(connWindow),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: reconnectFirst, Multiplier: 2, Jitter: 0.2, MaxDelay: reconnectMost},
 			MinConnectTimeout: dialTimeout,
--- a/lib/transporter/security.go
+++ b/lib/transporter/security.go
@@ -85,8 +85,13 @@
 // hostUnit is the organizational unit of certificates of the system's own processes.
 const hostUnit = "host"
 
-// ServerOption returns the gRPC server option that admits only the system's own processes.
-func (s *Security) ServerOption() grpc.ServerOption {
+// GRPCServer returns a gRPC server that admits only the system's own processes.
+func (s *Security) GRPCServer(options ...grpc.ServerOption) *grpc.Server {
+	base := []grpc.ServerOption{s.credentials(), grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(connWindow)}
+	return grpc.NewServer(append(base, options...)...)
+}
+
+func (s *Security) credentials() grpc.ServerOption {
 	if s.Open() {
 		return grpc.Creds(insecure.NewCredentials())
 	}
