Give the command line a TLS identity; make certificates for tests in one package

Cause: the client certificate's validity was judged by the machine's clock, not by the injected one; a test with short certificates showed it.

--- a/entryd/server/owner_test.go
+++ b/entryd/server/owner_test.go
@@ -98,7 +98,7 @@
 func free(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
--- a/lib/transporter/identity.go
+++ b/lib/transporter/identity.go
@@ -106,7 +106,7 @@
 	base.GetConfigForClient = func(*tls.ClientHelloInfo) (*tls.Config, error) {
 		pair, pool := i.current()
 		return &tls.Config{
-			MinVersion: tls.VersionTLS13, NextProtos: []string{"h2", "http/1.1"},
+			MinVersion: tls.VersionTLS13, NextProtos: []string{"h2", "http/1.1"}, Time: i.clock,
 			Certificates: []tls.Certificate{*pair}, ClientAuth: client, ClientCAs: pool,
 		}, nil
 	}
--- a/lib/transporter/security_test.go
+++ b/lib/transporter/security_test.go
@@ -2,15 +2,8 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -19,51 +12,22 @@
 	qt "github.com/frankban/quicktest"
 
 	"lycheelift.example/lib/authorizer"
+	"lycheelift.example/lib/issuer"
 	"lycheelift.example/lib/transporter"
 )
 
-// authority signs certificates for tests.
-type authority struct {
-	key  *ecdsa.PrivateKey
-	cert *x509.Certificate
-}
-
 var day = time.Date(2026, 1, 2, 0, 0, 0, 0, time.UTC)
 
-func newAuthority(t *testing.T) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	qt.Assert(t, err, qt.IsNil)
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: day.AddDate(-10, 0, 0), NotAfter: day.AddDate(90, 0, 0), KeyUsage: x509.KeyUsageCertSign,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	qt.Assert(t, err, qt.IsNil)
-	cert, err := x509.ParseCertificate(der)
+func newAuthority(t *testing.T) *issuer.Issuer {
+	out, err := issuer.New(day)
 	qt.Assert(t, err, qt.IsNil)
-	return &authority{key: key, cert: cert}
+	return out
 }
 
-func (a *authority) issue(t *testing.T, folder, name, role string) transporter.Files {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+func issue(t *testing.T, a *issuer.Issuer, folder, name, role string) transporter.Files {
+	files, err := a.Issue(folder, name, authorizer.Role(role), netip.MustParseAddr("127.0.0.1"))
 	qt.Assert(t, err, qt.IsNil)
-	der, err := x509.CreateCertificate(rand.Reader, &x509.Certificate{
-		SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name, OrganizationalUnit: []string{role}},
-		NotBefore: day.AddDate(-10, 0, 0), NotAfter: day.AddDate(90, 0, 0), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}, a.cert, &key.PublicKey, a.key)
-	qt.Assert(t, err, qt.IsNil)
-	private, err := x509.MarshalECPrivateKey(key)
-	qt.Assert(t, err, qt.IsNil)
-	write := func(suffix, kind string, data []byte) string {
-		path := filepath.Join(folder, name+suffix)
-		qt.Assert(t, os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: data}), 0o600), qt.IsNil)
-		return path
-	}
-	return transporter.Files{
-		Certificate: write(".crt", "CERTIFICATE", der), Key: write(".key", "EC PRIVATE KEY", private),
-		Authority: write(".ca", "CERTIFICATE", a.cert.Raw),
-	}
+	return files
 }
 
 // serve starts a server that answers with the name of the peer, or 403 without the operator's role.
@@ -96,11 +60,11 @@
 func TestRolesAndAuthoritiesAreChecked(t *testing.T) {
 	clock := func() time.Time { return day }
 	ours := newAuthority(t)
-	server, err := transporter.NewSecurity(false, ours.issue(t, t.TempDir(), "control-1", "host"), clock)
+	server, err := transporter.NewSecurity(false, issue(t, ours, t.TempDir(), "control-1", "host"), clock)
 	qt.Assert(t, err, qt.IsNil)
 	address := serve(t, server)
-	status := func(a *authority, role string) (int, error) {
-		s, err := transporter.NewSecurity(false, a.issue(t, t.TempDir(), "peer", role), clock)
+	status := func(a *issuer.Issuer, role string) (int, error) {
+		s, err := transporter.NewSecurity(false, issue(t, a, t.TempDir(), "peer", role), clock)
 		qt.Assert(t, err, qt.IsNil)
 		return get(t, s, address)
 	}
@@ -119,10 +83,10 @@
 	now := day
 	folder := t.TempDir()
 	ours, theirs := newAuthority(t), newAuthority(t)
-	s, err := transporter.NewSecurity(false, ours.issue(t, folder, "control-1", "host"), func() time.Time { return now })
+	s, err := transporter.NewSecurity(false, issue(t, ours, folder, "control-1", "host"), func() time.Time { return now })
 	qt.Assert(t, err, qt.IsNil)
 	address := serve(t, s)
-	client, err := transporter.NewSecurity(false, theirs.issue(t, t.TempDir(), "peer", "operator"), func() time.Time { return day })
+	client, err := transporter.NewSecurity(false, issue(t, theirs, t.TempDir(), "peer", "operator"), func() time.Time { return day })
 	qt.Assert(t, err, qt.IsNil)
 	_, err = get(t, client, address)
 	qt.Assert(t, err, qt.IsNotNil)
@@ -138,7 +102,7 @@
 	_, err = get(t, client, address)
 	qt.Assert(t, err, qt.IsNotNil)
 
-	theirs.issue(t, folder, "control-1", "host")
+	issue(t, theirs, folder, "control-1", "host")
 	touch(time.Now().Add(2 * time.Hour))
 	now = now.Add(time.Minute)
 	code, err := get(t, client, address)
--- a/lycheelift/command/answers.go
+++ b/lycheelift/command/answers.go
@@ -84,7 +84,7 @@
 	var spans []*statev1.Span
 	for _, address := range s.control {
 		request, cancel := context.WithTimeout(ctx, s.timeout)
-		part, err := operatorv1connect.NewOperatorServiceClient(s.client, "http://"+address).Answers(request, in)
+		part, err := operatorv1connect.NewOperatorServiceClient(s.client, s.secure.URL(address)).Answers(request, in)
 		cancel()
 		if err != nil {
 			out.Unreachable = append(out.Unreachable, address)
--- a/lycheelift/command/ask.go
+++ b/lycheelift/command/ask.go
@@ -39,7 +39,7 @@
 			}
 			ctx, cancel := context.WithTimeout(cmd.Context(), deadline)
 			defer cancel()
-			out, err := callerv1connect.NewQueryServiceClient(s.client, "http://"+s.entry).Query(ctx, in)
+			out, err := callerv1connect.NewQueryServiceClient(s.client, s.secure.URL(s.entry)).Query(ctx, in)
 			if err != nil {
 				return oops.Wrapf(err, "ask %s", s.entry)
 			}
--- a/lycheelift/command/center.go
+++ b/lycheelift/command/center.go
@@ -165,7 +165,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.timeout)
 	defer cancel()
-	out, err := operatorv1connect.NewHostServiceClient(m.client, "http://"+m.entry).Remove(ctx, &operatorv1.RemoveRequest{
+	out, err := operatorv1connect.NewHostServiceClient(m.client, m.secure.URL(m.entry)).Remove(ctx, &operatorv1.RemoveRequest{
 		Removed: m.out, Author: m.patch.GetAuthor(), Reason: m.patch.GetReason(),
 	})
 	switch {
--- a/lycheelift/command/client.go
+++ b/lycheelift/command/client.go
@@ -4,11 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/samber/oops"
 
 	"lycheelift.example/lib/commander"
+	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
 )
 
@@ -23,11 +26,21 @@
 	return &commander.CodeError{Code: code, Err: fmt.Errorf(format, args...)}
 }
 
-// check finds flags with values that no command accepts.
-func (s *shared) check() error {
+// prepare finds flags with values that no command accepts, and makes the client.
+func (s *shared) prepare() error {
 	if s.output != outputTable && s.output != outputJSON {
 		return usage("--output must be %s or %s, not %q", outputTable, outputJSON, s.output)
 	}
+	listening := s.control
+	if s.entry != "" {
+		listening = append(slices.Clone(s.control), s.entry)
+	}
+	secure, err := transporter.NewSecurity(s.files.Certificate == "", s.files, time.Now, listening...)
+	if err != nil {
+		return usage("%s; give --certificate, --key-file and --authority", err)
+	}
+	s.secure = secure
+	s.client = secure.Client(transporter.Silence{Idle: silenceIdle, Answer: silenceAnswer})
 	return nil
 }
 
@@ -53,7 +66,7 @@
 func (s *shared) one(ctx context.Context, address string, call func(context.Context, operators) error) error {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	return call(ctx, operatorv1connect.NewOperatorServiceClient(s.client, "http://"+address))
+	return call(ctx, operatorv1connect.NewOperatorServiceClient(s.client, s.secure.URL(address)))
 }
 
 // decided reports whether an error is the answer of a control host, which another one would repeat.
--- a/lycheelift/command/root.go
+++ b/lycheelift/command/root.go
@@ -17,7 +17,10 @@
 	entry   string
 	output  string
 	timeout time.Duration
+	files   transporter.Files
 	client  *http.Client
+	// secure makes URLs with or without TLS.
+	secure *transporter.Security
 }
 
 // Bounds of silence on a connection to a daemon.
@@ -37,7 +40,7 @@
 
 // New returns the root command.
 func New() *cobra.Command {
-	s := &shared{client: transporter.Client(transporter.Silence{Idle: silenceIdle, Answer: silenceAnswer})}
+	s := &shared{}
 	root := &cobra.Command{
 		Use:               "lycheelift",
 		Short:             "Operate lycheelift and read what it answered",
@@ -46,13 +49,16 @@
 		SilenceUsage:      true,
 		SilenceErrors:     true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
-		PersistentPreRunE: func(*cobra.Command, []string) error { return s.check() },
+		PersistentPreRunE: func(*cobra.Command, []string) error { return s.prepare() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &commander.UsageError{Err: err} })
 	f := root.PersistentFlags()
 	f.StringSliceVar(&s.control, "control", nil, "operators' addresses of control hosts, separated by commas")
 	f.StringVar(&s.entry, "entry", "", "callers' address of an entry host")
 	f.StringVar(&s.output, "output", outputTable, "table or json")
+	f.StringVar(&s.files.Certificate, "certificate", "", "file with your certificate chain, PEM; without one TLS is off and addresses must be on loopback")
+	f.StringVar(&s.files.Key, "key-file", "", "file with your private key, PEM")
+	f.StringVar(&s.files.Authority, "authority", "", "file with the authority that signs the system's certificates, PEM")
 	f.DurationVar(&s.timeout, "timeout", 5*time.Second, "longest wait for the reply of one host")
 	root.AddCommand(
 		newAnswers(s), newAsk(s), newPatch(s), newDifference(s), newHistory(s), newShow(s), newRollback(s), newOut(s), newIn(s),
