--- a/entryd/submitter/submitter.go
+++ b/entryd/submitter/submitter.go
@@ -27,6 +27,10 @@
 	maxPending = 4096
 	// leastTime is the time that must be left for the request itself when the permission arrives.
 	leastTime = 2 * time.Millisecond
+	// leastMargin and mostMargin bound the time kept for the way of a refusal back to the caller, a twentieth of the
+	// time that the request has. Without it the caller's own deadline ended the wait first.
+	leastMargin = 2 * time.Millisecond
+	mostMargin  = 50 * time.Millisecond
 )
 
 // ErrUnsent says that a call certainly did not reach the control host, or was refused there before the log.
@@ -91,13 +95,21 @@
 		submitter: s,
 		begin:     beginOf(r, fmt.Sprintf("%s/s%d", s.name, s.sequence.Add(1))),
 	}
-	out := a.ask(ctx)
+	out := a.within(ctx, r.Deadline)
 	if !out.run {
 		return out.response, out.refusal
 	}
 	return a.run(ctx, r.Deadline, run)
 }
 
+// within asks until a little before the deadline, so that the refusal still reaches the caller.
+func (a *attempt) within(ctx context.Context, deadline time.Time) *answer {
+	left := deadline.Sub(a.submitter.clock())
+	ctx, cancel := context.WithTimeout(ctx, left-min(max(left/20, leastMargin), mostMargin))
+	defer cancel()
+	return a.ask(ctx)
+}
+
 // run calls the request's function, the only place that does, and stores its outcome behind the reply: the caller
 // does not wait for the second commit, and a resend that comes before it waits for the outcome.
 func (a *attempt) run(ctx context.Context, deadline time.Time, run Run) (*callerv1.QueryResponse, *Refusal) {
