--- a/entryd/server/owner_test.go
+++ b/entryd/server/owner_test.go
@@ -98,7 +98,7 @@
 func free(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
@@ -186,6 +186,10 @@
 
 // call sends one call to the host that owns the leaf as far as known; not-owner answers teach it.
 func (k *cluster) call(i int, body string, timeout time.Duration) *peerv1.CallResult {
+	return k.callAs("", i, body, timeout)
+}
+
+func (k *cluster) callAs(tenant string, i int, body string, timeout time.Duration) *peerv1.CallResult {
 	name := fmt.Sprintf("desk-%d-0", i)
 	k.mu.Lock()
 	k.sequence++
@@ -197,7 +201,7 @@
 	k.mu.Unlock()
 	results := make(chan *peerv1.CallResult, 1)
 	k.dispatch.Send(owner, &peerv1.Call{
-		Attempt: attempt, Service: "desk", Snapshot: 1, Shard: uint32(i), Leaf: name, Body: []byte(body), Timeout: durationpb.New(timeout),
+		Attempt: attempt, Service: "desk", Snapshot: 1, Shard: uint32(i), Leaf: name, Body: []byte(body), Timeout: durationpb.New(timeout), Tenant: tenant,
 	}, results)
 	var out *peerv1.CallResult
 	select {
