--- a/entryd/follower/pull.go
+++ b/entryd/follower/pull.go
@@ -27,7 +27,7 @@
 	startInterval = 200 * time.Millisecond
 	// startStep spreads the first requests to control over the hosts of one list of seeds, so that usually one of
 	// them asks control and the others get the version from it.
-	startStep = 400 * time.Millisecond
+	startStep = time.Second
 	// startSeeds is the number of seeds asked at one time.
 	startSeeds = 3
 	// relayTimeout bounds the passing on of a version inside the cell.
@@ -101,7 +101,7 @@
 	slices.Sort(group)
 	group = slices.Compact(group)
 	control := started.Add(startStep*time.Duration(slices.Index(group, s.Self)) + jitter(startInterval))
-	wait := startStep
+	wait := 2 * startInterval
 	for f.View().Number == 0 && ctx.Err() == nil {
 		f.askSeeds(ctx, s)
 		now := f.clock()
--- /dev/null
+++ b/lib/disseminator/book_test.go
@@ -0,0 +1,196 @@
+package disseminator_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"lycheelift.example/lib/disseminator"
+	"lycheelift.example/lib/ranker"
+	backendv1 "lycheelift.example/schema/gen/lycheelift/backend/v1"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+var soak = flag.Bool("soak", false, "run with many more seeds")
+
+var start = time.Unix(1000, 0)
+
+// cells returns a number of cells of 9 hosts in one region.
+func cells(count int) []ranker.Cell {
+	var hosts []ranker.Host
+	for i := range count {
+		for j := range ranker.MaxCell {
+			hosts = append(hosts, ranker.Host{Name: fmt.Sprintf("host-%02d-%d", i, j), Center: fmt.Sprintf("center-%02d", i), Region: "r"})
+		}
+	}
+	return ranker.Cells(hosts)
+}
+
+func leaf(name string, epoch uint64) *peerv1.Leaf {
+	return &peerv1.Leaf{Epoch: epoch, Announcement: &backendv1.AnnounceRequest{
+		Leaf: name, Incarnation: 1, Address: "127.0.0.1:1", Center: "center-00", Service: "desk", State: backendv1.State_STATE_WARM,
+		Slots: 2, Connections: 25, Holdings: []*backendv1.Holding{{Snapshot: 1, Shard: 0, Shards: 1}},
+	}}
+}
+
+// fleet is every host's book, with the hosts that are dead.
+type fleet struct {
+	books map[string]*disseminator.Book
+	names []string
+	cells []ranker.Cell
+	dead  map[string]bool
+	now   time.Time
+	rng   *rand.Rand
+	bytes int
+}
+
+func newFleet(count int, seed uint64) *fleet {
+	f := &fleet{
+		books: make(map[string]*disseminator.Book), cells: cells(count), dead: make(map[string]bool), now: start,
+		rng: rand.New(rand.NewPCG(seed, 1)),
+	}
+	for _, c := range f.cells {
+		for _, name := range c.Hosts {
+			b := disseminator.New(name, 1, func(host string) bool { return !f.dead[host] })
+			b.SetCells(f.cells)
+			f.books[name] = b
+			f.names = append(f.names, name)
+		}
+	}
+	return f
+}
+
+// swap is one exchange as the syncer does it.
+func (f *fleet) swap(from, to string) {
+	a, b := f.books[from], f.books[to]
+	theirs := b.Digest(f.now)
+	f.bytes += 2 * proto.Size(theirs)
+	wanted := a.Compare(theirs, f.now)
+	if len(wanted) == 0 {
+		return
+	}
+	marks, records := b.Answer(wanted, a.Marks(wanted))
+	for _, r := range records {
+		f.bytes += proto.Size(r)
+	}
+	a.Take(wanted, theirs, marks, records, f.now)
+}
+
+// round lets each live host exchange with a random host of another cell, and fetch from one of its own cell.
+func (f *fleet) round() {
+	f.now = f.now.Add(2 * time.Second)
+	for _, name := range f.names {
+		other := f.names[f.rng.IntN(len(f.names))]
+		if f.dead[name] || f.dead[other] {
+			continue
+		}
+		home := f.books[name].HomeName()
+		if f.books[other].HomeName() == home {
+			marks, records := f.books[other].Answer([]string{home}, f.books[name].Marks([]string{home}))
+			f.books[name].Take([]string{home}, nil, marks, records, f.now)
+			continue
+		}
+		f.swap(name, other)
+	}
+}
+
+// Guards against records that do not reach every host of 450 by digests alone, against a leaf of a dead host that
+// comes back from an old record, and against a digest whose size breaks the budget.
+func TestDigestsAloneSpreadRecordsAndDeaths(t *testing.T) {
+	seeds := uint64(1)
+	if *soak {
+		seeds = 20
+	}
+	for seed := range seeds {
+		c := qt.New(t)
+		f := newFleet(50, seed)
+		first, second := f.cells[0].Hosts[0], f.cells[0].Hosts[1]
+		f.books[first].Publish([]*peerv1.Leaf{leaf("desk-0", 1)})
+		f.mates(first)
+		rounds := f.until(c, "desk-0", first)
+		f.bytes = 0
+		for range 5 {
+			f.round()
+		}
+		perSecond := float64(f.bytes) / 5 / 2 / 450
+		c.Logf("known everywhere after %d rounds; steady digests %.0f B/s and host, %d B a digest", rounds, perSecond,
+			proto.Size(f.books[first].Digest(f.now)))
+		c.Assert(perSecond < 2000, qt.IsTrue)
+		f.dead[first] = true
+		f.books[second].Publish([]*peerv1.Leaf{leaf("desk-0", 2)})
+		f.mates(second)
+		f.until(c, "desk-0", second)
+		for range 10 {
+			f.round()
+			for _, name := range f.names {
+				if !f.dead[name] {
+					c.Assert(f.books[name].Leaves(f.now)["desk-0"].Owner, qt.Equals, second)
+				}
+			}
+		}
+	}
+}
+
+// mates gives a host's record to its cell, as a push does.
+func (f *fleet) mates(name string) {
+	for _, other := range f.cells[0].Hosts {
+		f.books[other].Offer(f.books[name].Own())
+	}
+}
+
+func (f *fleet) until(c *qt.C, leaf, owner string) int {
+	for n := range 60 {
+		missing := 0
+		for _, name := range f.names {
+			if l := f.books[name].Leaves(f.now)[leaf]; !f.dead[name] && (l == nil || l.Owner != owner) {
+				missing++
+			}
+		}
+		if missing == 0 {
+			return n
+		}
+		f.round()
+	}
+	c.Fatalf("leaf %s is not known as owned by %s everywhere after 60 rounds", leaf, owner)
+	return 0
+}
+
+// Guards against fetches that only an announcement's sequence or load causes.
+func TestSequenceGrowsOnlyOnAChange(t *testing.T) {
+	c := qt.New(t)
+	b := newFleet(1, 1).books["host-00-0"]
+	c.Assert(b.Publish([]*peerv1.Leaf{leaf("desk-0", 1)}), qt.IsTrue)
+	before := b.Own().GetSequence()
+	same := leaf("desk-0", 1)
+	same.Announcement.Sequence, same.Announcement.Load = 99, 0.5
+	c.Assert(b.Publish([]*peerv1.Leaf{same}), qt.IsFalse)
+	c.Assert(b.Own().GetSequence(), qt.Equals, before)
+	c.Assert(b.Publish([]*peerv1.Leaf{leaf("desk-0", 2)}), qt.IsTrue)
+	c.Assert(b.Own().GetSequence(), qt.Equals, before+1)
+}
+
+// Guards against leaves of a cell that nobody has heard of for long, and against a push that revives records of
+// hosts that their cell no longer counts.
+func TestCellsExpireAndPushesDropTheDead(t *testing.T) {
+	c := qt.New(t)
+	f := newFleet(2, 1)
+	far, first, second := f.books[f.cells[1].Hosts[0]], f.cells[0].Hosts[0], f.cells[0].Hosts[1]
+	f.books[first].Publish([]*peerv1.Leaf{leaf("desk-0", 1)})
+	f.mates(first)
+	f.swap(f.cells[1].Hosts[0], second)
+	c.Assert(far.Leaves(f.now)["desk-0"].Owner, qt.Equals, first)
+	f.dead[first] = true
+	home := f.cells[0].Name
+	c.Assert(far.Complete(home, f.books[second].Marks([]string{home}), f.now), qt.IsTrue)
+	c.Assert(far.Leaves(f.now), qt.HasLen, 0)
+	f.books[second].Publish([]*peerv1.Leaf{leaf("desk-0", 2)})
+	f.now = f.now.Add(time.Second)
+	f.swap(f.cells[1].Hosts[0], second)
+	c.Assert(far.Leaves(f.now)["desk-0"].Owner, qt.Equals, second)
+	c.Assert(far.Leaves(f.now.Add(disseminator.Fresh)), qt.HasLen, 0)
+}
--- a/loader/stager/stager.go
+++ b/loader/stager/stager.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -326,16 +327,37 @@
 	}
 }
 
-// ports finds free loopback addresses by listening on all of them for a moment.
+// Log returns the end of a host's log.
+func (d *Deployment) Log(h *Host) string {
+	const most = 8000
+	data, err := os.ReadFile(filepath.Join(d.layout.Folder, h.Name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-most):])
+}
+
+// Ports are taken below the range from which systems choose ports of outgoing connections, so that no connection of
+// another process takes one before the host listens on it.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
+// ports finds free loopback addresses by listening on each of them for a moment.
 func ports(n int) ([]string, error) {
 	out := make([]string, 0, n)
-	for range n {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	for _, i := range rand.Perm(lastPort - firstPort) { //nolint:gosec // Any free port will do.
+		if len(out) == n {
+			return out, nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+i)
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
 		if err != nil {
-			return nil, oops.Wrap(err)
+			continue
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
+		_ = l.Close()
+		out = append(out, address)
 	}
-	return out, nil
+	return nil, oops.Errorf("fewer than %d free ports", n)
 }
--- a/loader/stager/stager_test.go
+++ b/loader/stager/stager_test.go
@@ -67,7 +67,7 @@
 	load := d.Call(ctx, 50)
 	for _, h := range d.Hosts {
 		c.Assert(h.Signal(syscall.SIGTERM), qt.IsNil)
-		c.Assert(h.Wait(), qt.IsNil)
+		c.Assert(h.Wait(), qt.IsNil, qt.Commentf("%s", d.Log(h)))
 		c.Assert(d.StartHost(h), qt.IsNil)
 		settle(ctx, c, d, 9)
 	}
@@ -188,7 +188,7 @@
 	time.Sleep(7 * time.Second)
 	h := d.Hosts[5]
 	c.Assert(h.Signal(syscall.SIGTERM), qt.IsNil)
-	c.Assert(h.Wait(), qt.IsNil)
+	c.Assert(h.Wait(), qt.IsNil, qt.Commentf("%s", d.Log(h)))
 	c.Assert(d.StartHost(h), qt.IsNil)
 	settle(ctx, c, d, 9)
 	time.Sleep(time.Second)
