Send a local removal to every cell of the data centre at once

It spread by probes and random exchanges only, which does not bound the time in a data centre of many cells.

--- a/entryd/inspector/inspector.go
+++ b/entryd/inspector/inspector.go
@@ -25,22 +25,28 @@
 	Members() []detector.Update
 }
 
+// Spreader tells other hosts of the data centre of a local removal.
+type Spreader interface {
+	SpreadRemoval(ctx context.Context)
+}
+
 // Inspector serves the host service.
 type Inspector struct {
 	host, center string
 	follow       *follower.Follower
 	table        *cataloguer.Table
 	members      Members
+	spread       Spreader
 	draining     func() bool
 	calls        func() uint64
 	clock        func() time.Time
 }
 
 // New returns the service. draining and calls report the state of the host and its leaf calls since the start.
-func New(host, center string, follow *follower.Follower, table *cataloguer.Table, members Members,
+func New(host, center string, follow *follower.Follower, table *cataloguer.Table, members Members, spread Spreader,
 	draining func() bool, calls func() uint64, clock func() time.Time,
 ) *Inspector {
-	return &Inspector{host, center, follow, table, members, draining, calls, clock}
+	return &Inspector{host, center, follow, table, members, spread, draining, calls, clock}
 }
 
 // Names of the states of leaves, for operators.
@@ -68,10 +74,11 @@
 }
 
 // Remove takes the host's data centre out or back in, on every host of the data centre that can be reached.
-func (i *Inspector) Remove(_ context.Context, in *operatorv1.RemoveRequest) (*operatorv1.RemoveResponse, error) {
+func (i *Inspector) Remove(ctx context.Context, in *operatorv1.RemoveRequest) (*operatorv1.RemoveResponse, error) {
 	if in.GetAuthor() == "" || len(in.GetAuthor()) > maxText || len(in.GetReason()) > maxText {
 		return nil, connect.NewError(connect.CodeInvalidArgument, oops.Errorf("a removal needs an author; author and reason have at most %d bytes", maxText))
 	}
 	view := i.follow.Remove(in.GetRemoved(), in.GetAuthor(), in.GetReason(), i.clock())
+	i.spread.SpreadRemoval(ctx)
 	return &operatorv1.RemoveResponse{Version: view.Number}, nil
 }
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -81,7 +81,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewQueryServiceHandler(accept, connect.WithInterceptors(out.gate.intercept())))
 	mux.Handle(backendv1connect.NewAnnounceServiceHandler(announce))
-	mux.Handle(operatorv1connect.NewHostServiceHandler(inspector.New(s.Name, s.Center, out.follow, table, out.probe,
+	mux.Handle(operatorv1connect.NewHostServiceHandler(inspector.New(s.Name, s.Center, out.follow, table, out.probe, out.sync,
 		out.stopping.Load, out.meter.calls.Load, clock)))
 	mux.Handle("GET /metrics", out.export.Handler)
 	mux.HandleFunc("GET /ready", out.serveReady)
--- a/entryd/syncer/syncer.go
+++ b/entryd/syncer/syncer.go
@@ -230,6 +230,25 @@
 	wait.Wait()
 }
 
+// SpreadRemoval tells this host's cell and one host of every other cell of the data centre of the local removal.
+// Probes carry it to the other hosts.
+func (s *Syncer) SpreadRemoval(ctx context.Context) {
+	home := s.homeName()
+	var wait sync.WaitGroup
+	for _, c := range s.follow.View().Cells {
+		if c.Center != s.center {
+			continue
+		}
+		for _, host := range shuffled(c.Hosts) {
+			wait.Go(func() { s.call(ctx, host, &peerv1.SyncRequest{}) })
+			if c.Name != home {
+				break
+			}
+		}
+	}
+	wait.Wait()
+}
+
 // relay passes a push from another cell to the other hosts of this one.
 func (s *Syncer) relay(in *peerv1.SyncRequest) {
 	cell, _ := s.follow.View().Cell(s.self)
@@ -251,7 +270,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	in.Host, in.Version = s.self, s.follow.View().Number
+	view := s.follow.View()
+	in.Host, in.Version, in.Removal = s.self, view.Number, view.Removal
 	out, err := peerv1.NewPeerServiceClient(conn).Sync(ctx, in)
 	if err != nil {
 		return nil
@@ -320,6 +340,7 @@
 func (s *Syncer) Sync(_ context.Context, in *peerv1.SyncRequest) (*peerv1.SyncResponse, error) {
 	now := s.clock()
 	out := &peerv1.SyncResponse{Age: durationpb.New(s.follow.Age(now))}
+	s.follow.Removed(in.GetRemoval(), now)
 	view := s.follow.View()
 	if view.Number > in.GetVersion() {
 		out.Version = view.Version
