--- a/leafd/command/command.go
+++ b/leafd/command/command.go
@@ -31,6 +31,7 @@
 	control     string
 	seed        uint64
 	announce    time.Duration
+	pack        int
 	behave      leaf.Behaviour
 }
 
@@ -50,6 +51,7 @@
 	f.StringSliceVar(&o.entries, "entries", nil, "addresses of entry hosts to announce to")
 	f.IntVar(&o.shards, "shards", 3, "shards of the index")
 	f.IntVar(&o.replicas, "replicas", 2, "replicas of each shard")
+	f.IntVar(&o.pack, "pack", 1, "shards that a leaf holds")
 	f.IntVar(&o.slots, "slots", 2, "calls at one time")
 	f.IntVar(&o.connections, "connections", 25, "connection limit")
 	f.Uint64Var(&o.snapshot, "snapshot", 1, "index snapshot")
@@ -67,6 +69,9 @@
 }
 
 func run(cmd *cobra.Command, o *options) error {
+	if o.pack < 1 {
+		return oops.Errorf("--pack must be at least 1")
+	}
 	if len(o.centers) == 0 || len(o.entries) == 0 {
 		return oops.Errorf("centers and entries are required")
 	}
@@ -74,7 +79,7 @@
 	defer stop()
 	leaves := make([]*leaf.Leaf, 0, o.shards*o.replicas)
 	for replica := range o.replicas {
-		for shard := range o.shards {
+		for shard := 0; shard < o.shards; shard += o.pack {
 			l := leaf.New(o.config(shard, replica))
 			if err := l.Start(ctx, time.Now()); err != nil {
 				return err
@@ -101,8 +106,17 @@
 	return leaf.Config{
 		Name:   fmt.Sprintf("%s-%d-%d", o.service, shard, replica),
 		Center: o.centers[replica%len(o.centers)], Service: o.service, Slots: o.slots, Connections: o.connections,
-		Holdings: []*backendv1.Holding{{Snapshot: o.snapshot, Shard: uint32(shard), Shards: uint32(o.shards)}}, //nolint:gosec // Small numbers from flags.
-		Address:  "127.0.0.1:0", Entries: o.entries, Seed: o.seed + uint64(shard*o.replicas+replica),           //nolint:gosec // Small numbers from flags.
+		Holdings: o.holdings(shard),
+		Address:  "127.0.0.1:0", Entries: o.entries, Seed: o.seed + uint64(shard*o.replicas+replica), //nolint:gosec // Small numbers from flags.
 		Behaviour: o.behave, Announce: o.announce,
 	}
 }
+
+// holdings returns the shards of the leaf that begins with one.
+func (o *options) holdings(first int) []*backendv1.Holding {
+	var out []*backendv1.Holding
+	for shard := first; shard < min(first+o.pack, o.shards); shard++ {
+		out = append(out, &backendv1.Holding{Snapshot: o.snapshot, Shard: uint32(shard), Shards: uint32(o.shards)}) //nolint:gosec // Small numbers from flags.
+	}
+	return out
+}
--- a/leafd/leaf/leaf.go
+++ b/leafd/leaf/leaf.go
@@ -101,11 +101,17 @@
 	address     string
 }
 
+// shared returns the client with which all stand-ins of a process announce. With a client each, 1980 stand-ins would
+// keep up to 6000 connections open and ping each of them every second.
+var shared = sync.OnceValue(func() *http.Client {
+	return transporter.Client(transporter.Silence{Idle: time.Second, Answer: time.Second})
+})
+
 // New returns a stand-in that is cold until it has served some calls, or warm at once if none are needed.
 func New(c Config) *Leaf {
 	l := &Leaf{
 		config: c, behave: c.Behaviour, random: rand.New(rand.NewPCG(c.Seed, 1)), //nolint:gosec // Reproducible stand-in.
-		client: transporter.Client(transporter.Silence{Idle: time.Second, Answer: time.Second}), holdings: c.Holdings,
+		client: shared(), holdings: c.Holdings,
 	}
 	l.record.Leaf = c.Name
 	l.record.Keys = make(map[string]int)
