--- a/entryd/acceptor/harness_test.go
+++ b/entryd/acceptor/harness_test.go
@@ -146,7 +146,7 @@
 var centers = []string{"a", "b", "c"}
 
 // deploy makes three data centres of one host each and a service of some shards with a replica in each.
-func deploy(t *testing.T, shards int, services map[string]any, options ...acceptor.Option) *deployment {
+func deploy(t testing.TB, shards int, services map[string]any, options ...acceptor.Option) *deployment {
 	start := time.Now()
 	d := &deployment{fleet: newFleet(), table: cataloguer.New(start.Add(-time.Minute)), follow: follower.New(start)}
 	d.configure(t, 1, services, nil)
@@ -165,7 +165,7 @@
 	return d
 }
 
-func (d *deployment) host(t *testing.T, name, center string, net network, options []acceptor.Option) {
+func (d *deployment) host(t testing.TB, name, center string, net network, options []acceptor.Option) {
 	cells := func() []ranker.Cell { return d.follow.View().Cells }
 	isolate := isolator.New(name, cells, net, time.Now)
 	listener := bufconn.Listen(1 << 16)
@@ -179,7 +179,7 @@
 }
 
 // configure puts a configuration version in force.
-func (d *deployment) configure(t *testing.T, number uint64, services map[string]any, out []string) {
+func (d *deployment) configure(t testing.TB, number uint64, services map[string]any, out []string) {
 	document := map[string]any{"services": services}
 	places, hosts := map[string]any{}, map[string]any{}
 	for i, c := range centers {
