Record a query's events and replay them

A trace holds the query, each event, the answers of the host's shared state and the decisions, one JSON object a line through protojson. lycheelift replay FILE plays it through the planner and fails when a decision, an invariant or the stated outcome differs.

--- a/Makefile
+++ b/Makefile
@@ -61,4 +61,4 @@
 	./out/demo
 
 soak:
-	go test -count=1 -timeout 60m ./lib/... -soak
+	go test -count=1 -timeout 60m $$(grep -rl 'flag.Bool("soak"' --include=*_test.go $(MODULES) | xargs -n1 dirname | sort -u | sed "s|^|./|") -soak
--- a/lib/planner/fake_test.go
+++ b/lib/planner/fake_test.go
@@ -8,6 +8,7 @@
 
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/tracer"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 )
 
@@ -77,9 +78,16 @@
 	retried  int
 	primary  int
 	cancels  int
+	traced   bool
+	trace    *tracer.Recorder
 	latency  func() time.Duration
 }
 
+// stepper is a planner, or one that records.
+type stepper interface {
+	Step(planner.Event, time.Time) []planner.Action
+}
+
 func newFake(seed uint64, shards, replicas int) *fake {
 	f := &fake{
 		random: rand.New(rand.NewPCG(seed, 2)), shards: map[uint64]int{1: shards}, leaves: map[uint64][][]*cataloguer.Leaf{},
@@ -159,7 +167,11 @@
 	if q.Deadline.IsZero() {
 		q.Deadline = epoch.Add(100 * time.Millisecond)
 	}
-	p := planner.New(q, f, options...)
+	p := stepper(planner.New(q, f, options...))
+	if f.traced {
+		f.trace = tracer.New(q, f, options...)
+		p = f.trace
+	}
 	f.apply(p.Step(planner.Event{Kind: planner.Start}, f.now))
 	for {
 		next, ok := f.next()
--- a/lycheelift/command/root.go
+++ b/lycheelift/command/root.go
@@ -42,6 +42,6 @@
 	f.StringVar(&s.entry, "entry", "", "callers' address of an entry host")
 	f.StringVar(&s.output, "output", "table", "table or json")
 	f.DurationVar(&s.timeout, "timeout", 5*time.Second, "longest wait for a reply")
-	root.AddCommand(newAsk(s), newPatch(s), newShow(s))
+	root.AddCommand(newAsk(s), newPatch(s), newShow(s), newReplay())
 	return root
 }
