Write traces of queries that are not answered whole

The recorder takes the monotonic reading off all times: with it a replay of a real trace differed by 6 ns in a call's timeout (found by TestTraceOfFailedQueryReplays).

--- a/entryd/acceptor/acceptor.go
+++ b/entryd/acceptor/acceptor.go
@@ -63,6 +63,9 @@
 	budget   *budgeter.Budgeter
 	metrics  *metrics
 
+	traces string
+	traced atomic.Int64
+
 	body    int
 	queries int64
 	timeout time.Duration
@@ -96,6 +99,11 @@
 	return func(a *Acceptor) { a.isolate = i }
 }
 
+// WithTraces sets the folder for traces of queries that are not answered whole; empty keeps none.
+func WithTraces(folder string) Option {
+	return func(a *Acceptor) { a.traces = folder }
+}
+
 // WithScope sets where metrics are counted.
 func WithScope(s tally.Scope) Option {
 	return func(a *Acceptor) { a.metrics = newMetrics(s) }
--- a/entryd/acceptor/acceptor_test.go
+++ b/entryd/acceptor/acceptor_test.go
@@ -1,6 +1,8 @@
 package acceptor_test
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -9,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lycheelift.example/entryd/acceptor"
+	"lycheelift.example/lib/tracer"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 )
 
@@ -93,3 +96,20 @@
 	out, _ := d.ask(0, &callerv1.QueryRequest{Tenant: "clerk"})
 	qt.Assert(t, out.GetOutcome(), qt.Equals, callerv1.Outcome_OUTCOME_WHOLE)
 }
+
+// Guards against traces from a running host that do not replay, and against traces of whole answers.
+func TestTraceOfFailedQueryReplays(t *testing.T) {
+	folder := t.TempDir()
+	d := deploy(t, 3, map[string]any{"desk": map[string]any{}}, acceptor.WithTraces(folder))
+	d.ask(0, &callerv1.QueryRequest{Body: []byte("name=Lotca")})
+	d.ask(0, &callerv1.QueryRequest{Body: []byte(harmful)})
+	files, err := filepath.Glob(filepath.Join(folder, "*"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.HasLen, 1)
+	file, err := os.Open(files[0])
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = file.Close() }()
+	out, err := tracer.Replay(file)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, out.Reply.GetReason(), qt.Equals, callerv1.Reason_REASON_CRASHED)
+}
--- a/entryd/acceptor/run.go
+++ b/entryd/acceptor/run.go
@@ -16,6 +16,11 @@
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
+// stepper is a planner, or one that keeps a trace.
+type stepper interface {
+	Step(e planner.Event, now time.Time) []planner.Action
+}
+
 // running is one query in its caller's goroutine: one mailbox and one timer serve all of its calls.
 type running struct {
 	accept      *Acceptor
@@ -25,7 +30,7 @@
 	ticket      quarantiner.Ticket
 	reported    chan struct{}
 	ended       chan struct{}
-	plan        *planner.Planner
+	plan        stepper
 	box         *dispatcher.Mailbox
 	timer       *time.Timer
 	reply       *planner.Reply
@@ -43,14 +48,15 @@
 	defer q.box.Close()
 	q.timer = time.NewTimer(r.deadline.Sub(now))
 	defer q.timer.Stop()
-	q.plan = planner.New(planner.Query{
+	q.plan = a.plan(planner.Query{
 		Identity: a.identity(), Keyed: r.key != "", Least: r.least, Received: now, Deadline: r.deadline,
 		Canary: q.ticket.Verdict != quarantiner.Free, Alone: q.ticket.Verdict == quarantiner.Alone,
-	}, &world{accept: a, ask: r, view: view}, planner.WithViolation(a.violated))
+	}, &world{accept: a, ask: r, view: view})
 	q.step(planner.Event{Kind: planner.Start})
 	for q.reply == nil {
 		q.wait(ctx)
 	}
+	a.keep(q.plan, q.reply)
 	return q.ask.respond(q.reply)
 }
 
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -65,7 +65,7 @@
 	isolate := isolator.New(s.Name, func() []ranker.Cell { return out.follow.View().Cells }, out.dial, clock)
 	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock,
 		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries), acceptor.WithScope(out.export.Scope),
-		acceptor.WithIsolator(isolate))
+		acceptor.WithIsolator(isolate), acceptor.WithTraces(s.Traces))
 	announce := announcer.New(table, out.dial, clock)
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewQueryServiceHandler(accept))
--- a/lib/eventer/query.go
+++ b/lib/eventer/query.go
@@ -9,4 +9,6 @@
 	RequestSuspected = define(1005, Warning, "request was in flight on a backend server that crashed")
 	SuspectCleared   = define(1006, Info, "suspected request was answered without harm")
 	SuspectUntold    = define(1007, Warning, "host was not told of a suspected request")
+	TraceKept        = define(1008, Info, "trace of a query was written")
+	TraceFailed      = define(1009, Warning, "trace of a query could not be written")
 )
--- a/lib/tracer/recorder.go
+++ b/lib/tracer/recorder.go
@@ -17,15 +17,19 @@
 
 // Recorder is a planner that keeps a trace of its query.
 type Recorder struct {
-	world   planner.World
-	plan    *planner.Planner
-	lines   []*statev1.TraceLine
-	answers []*statev1.TraceAnswer
+	world planner.World
+	// received is the query's arrival as the clock gave it.
+	received time.Time
+	plan     *planner.Planner
+	lines    []*statev1.TraceLine
+	answers  []*statev1.TraceAnswer
 }
 
 // New returns a recording planner.
 func New(q planner.Query, world planner.World, options ...planner.Option) *Recorder {
-	r := &Recorder{world: world}
+	r := &Recorder{world: world, received: q.Received}
+	q.Deadline = r.wall(q.Deadline)
+	q.Received = r.wall(q.Received)
 	r.lines = []*statev1.TraceLine{{Line: &statev1.TraceLine_Query{Query: &statev1.TraceQuery{
 		Identity: q.Identity, Keyed: q.Keyed, Canary: q.Canary, Alone: q.Alone, Least: q.Least,
 		Received: timestamppb.New(q.Received), Deadline: timestamppb.New(q.Deadline),
@@ -37,6 +41,7 @@
 // Step takes an event and returns what is to be done.
 func (r *Recorder) Step(e planner.Event, now time.Time) []planner.Action {
 	r.answers = nil
+	now = r.wall(now)
 	actions := r.plan.Step(e, now)
 	event := &statev1.TraceEvent{Time: timestamppb.New(now), Kind: kinds[e.Kind], Answers: r.answers}
 	if e.Kind == planner.Returned {
@@ -47,6 +52,12 @@
 	return actions
 }
 
+// wall returns a time without its monotonic reading, at the same distance from the query's arrival. A trace cannot keep
+// the monotonic reading, and the two clocks differ by some nanoseconds, which would show as other decisions.
+func (r *Recorder) wall(t time.Time) time.Time {
+	return r.received.Round(0).Add(t.Sub(r.received))
+}
+
 // Write writes the trace, one JSON object a line.
 func (r *Recorder) Write(w io.Writer) error {
 	for _, line := range r.lines {
@@ -109,3 +120,8 @@
 	w.note(&statev1.TraceAnswer{Question: askRetry, Yes: ok})
 	return ok
 }
+
+// Identity returns the unique prefix of the query's attempts.
+func (r *Recorder) Identity() string {
+	return r.lines[0].GetQuery().GetIdentity()
+}
--- a/schema/gen/settings/entryd/entryd.go
+++ b/schema/gen/settings/entryd/entryd.go
@@ -38,6 +38,9 @@
 	// Tls corresponds to the JSON schema field "tls".
 	Tls Tls `json:"tls"`
 
+	// Folder for traces of queries that are not answered whole; empty turns them off.
+	Traces string `json:"traces,omitempty,omitzero"`
+
 	// Log verbosity.
 	Verbosity int `json:"verbosity,omitempty,omitzero"`
 }
@@ -116,6 +119,9 @@
 	if matched, _ := regexp.MatchString(`^[0-9]+(ms|s|m)$`, string(plain.Timeout)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "Timeout", `^[0-9]+(ms|s|m)$`)
 	}
+	if v, ok := raw["traces"]; !ok || v == nil {
+		plain.Traces = ""
+	}
 	if v, ok := raw["verbosity"]; !ok || v == nil {
 		plain.Verbosity = 0
 	}
