--- a/Makefile
+++ b/Makefile
@@ -62,4 +62,4 @@
 
 # Packages without the flag would refuse it.
 soak:
-	go test -count=1 -timeout 60m $(addprefix ./,$(sort $(dir $(shell grep -l '"soak"' lib/*/*_test.go)))) -soak
+	go test -count=1 -timeout 60m $$(grep -rl 'flag.Bool("soak"' --include=*_test.go $(MODULES) | xargs -n1 dirname | sort -u | sed "s|^|./|") -soak
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -99,7 +99,7 @@
 	isolate := isolator.New(s.Name, func() []ranker.Cell { return out.follow.View().Cells }, out.dial, clock)
 	accept := acceptor.New(s.Name, s.Center, table, out.follow, out.dispatch, clock,
 		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries),
-		acceptor.WithOwners(owners{out.hold}), acceptor.WithSubmitter(out.submit), acceptor.WithRecorder(buffer), acceptor.WithIsolator(isolate),
+		acceptor.WithOwners(owners{out.hold}), acceptor.WithSubmitter(out.submit), acceptor.WithRecorder(buffer), acceptor.WithIsolator(isolate), acceptor.WithTraces(s.Traces),
 		acceptor.WithScope(out.export.Scope.SubScope("query")))
 	announce := announcer.New(table, peerer.NewForwarder(s.Name, out.dial, table.Owner, clock), clock)
 	allowed := connect.WithInterceptors(authorizer.Interceptor(access), tenancy(), out.gate.intercept())
--- a/lycheelift/command/root.go
+++ b/lycheelift/command/root.go
@@ -62,7 +62,7 @@
 	f.DurationVar(&s.timeout, "timeout", 5*time.Second, "longest wait for the reply of one host")
 	root.AddCommand(
 		newAnswers(s), newAsk(s), newPatch(s), newDifference(s), newHistory(s), newShow(s), newInspect(s), newRollback(s), newOut(s), newIn(s),
-		newStatus(s), newMember(s), newSettings(s), newCompletion(),
+		newStatus(s), newMember(s), newReplay(), newSettings(s), newCompletion(),
 	)
 	return root
 }
