--- a/entryd/dispatcher/dispatcher_test.go
+++ b/entryd/dispatcher/dispatcher_test.go
@@ -85,6 +85,7 @@
 	qt.Assert(t, got, qt.HasLen, 1)
 	qt.Assert(t, got[0].GetLeaf(), qt.Equals, "leaf")
 	qt.Assert(t, got[0].GetShard(), qt.Equals, uint32(2))
+	qt.Assert(t, got[0].GetSnapshot(), qt.Equals, uint64(3))
 	qt.Assert(t, dropped, qt.HasLen, 4)
 }
 
--- /dev/null
+++ b/entryd/isolator/isolator_test.go
@@ -0,0 +1,76 @@
+package isolator_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/test/bufconn"
+
+	"lycheelift.example/entryd/isolator"
+	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/quarantiner"
+	"lycheelift.example/lib/ranker"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+// network connects hosts by name; a host without a listener cannot be reached.
+type network map[string]*bufconn.Listener
+
+func (n network) Dial(host string) (*grpc.ClientConn, error) {
+	listener, ok := n[host]
+	if !ok {
+		return nil, errors.New("host is down")
+	}
+	return grpc.NewClient("passthrough:///"+host, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return listener.DialContext(ctx) }))
+}
+
+type service struct {
+	peerv1.UnimplementedPeerServiceServer
+	isolate *isolator.Isolator
+}
+
+func (s service) Suspect(ctx context.Context, in *peerv1.SuspectRequest) (*peerv1.SuspectResponse, error) {
+	return s.isolate.Suspect(ctx, in)
+}
+
+// Guards against hosts of another cell that are not told of a suspect, also when the first of the cell is down, and
+// against a suspect that is not cleared everywhere.
+func TestSuspectReachesEveryHost(t *testing.T) {
+	cells := func() []ranker.Cell { return []ranker.Cell{{Hosts: []string{"a"}}, {Hosts: []string{"b", "c", "d"}}} }
+	down, hosts := network{}, map[string]*isolator.Isolator{}
+	for _, name := range []string{"a", "c", "d"} {
+		hosts[name] = isolator.New(name, cells, down, time.Now)
+		listener := bufconn.Listen(1 << 16)
+		down[name] = listener
+		server := grpc.NewServer()
+		peerv1.RegisterPeerServiceServer(server, service{isolate: hosts[name]})
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(server.Stop)
+	}
+	told := make(chan struct{})
+	call := &planner.Call{Attempt: "a/1", Canary: true, Target: planner.Target{Leaf: &cataloguer.Leaf{Name: "leaf"}}}
+	hosts["a"].Crashed(7, call, func() { close(told) })
+	<-told
+	verdict := func(host string) quarantiner.Verdict {
+		ticket := hosts[host].Enter(context.Background(), 7, false)
+		hosts[host].Leave(7, ticket)
+		return ticket.Verdict
+	}
+	for _, name := range []string{"a", "c", "d"} {
+		qt.Assert(t, verdict(name), qt.Equals, quarantiner.Alone, qt.Commentf("%s", name))
+	}
+	hosts["d"].Cleared(7)
+	deadline := time.Now().Add(5 * time.Second)
+	for verdict("a") != quarantiner.Free || verdict("c") != quarantiner.Free {
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue)
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -162,6 +162,9 @@
 func TestCanaryOnSilentLeaf(t *testing.T) {
 	f := newFake(1, 3, 3).script(lost)
 	qt.Assert(t, f.run(planner.Query{Canary: true}).Outcome, qt.Equals, callerv1.Outcome_OUTCOME_WHOLE)
+	f = newFake(1, 3, 4).script(lost, lost)
+	f.run(planner.Query{Canary: true})
+	qt.Assert(t, f.records, qt.HasLen, 2)
 	f = newFake(1, 3, 3).script(lost)
 	qt.Assert(t, f.run(planner.Query{Canary: true, Alone: true}).Outcome, qt.Equals, callerv1.Outcome_OUTCOME_FAILED)
 	qt.Assert(t, f.records, qt.HasLen, 1)
@@ -175,6 +178,30 @@
 	qt.Assert(t, f.records, qt.HasLen, 3)
 	qt.Assert(t, r.Answered, qt.Equals, uint32(2))
 	qt.Assert(t, r.Missing, qt.DeepEquals, []planner.Missing{{Shard: 0, Reason: callerv1.Reason_REASON_CRASHED}})
+	f = newFake(1, 3, 3).script(crash, failing)
+	r = f.run(planner.Query{})
+	qt.Assert(t, f.records, qt.HasLen, 3)
+	qt.Assert(t, r.Answered, qt.Equals, uint32(1))
+}
+
+// Guards against a rerun that gives up a partial answer for a newer snapshot that is not complete, and against a second
+// canary of a request that was answered without harm.
+func TestRerunNeedsCompleteSnapshot(t *testing.T) {
+	f := newFake(1, 3, 2).script(good, broken, good)
+	f.hold(2, 5, 1)
+	f.leaves[2][4] = nil
+	f.trigger, f.switchy = 0, time.Millisecond
+	r := f.run(planner.Query{})
+	qt.Assert(t, r.Snapshot, qt.Equals, uint64(1))
+	qt.Assert(t, r.Answered, qt.Equals, uint32(2))
+
+	f = newFake(1, 3, 2).script(good, broken, good)
+	f.hold(2, 5, 1)
+	f.trigger, f.switchy = 0, 3*time.Millisecond
+	r = f.run(planner.Query{Canary: true})
+	qt.Assert(t, r.Outcome, qt.Equals, callerv1.Outcome_OUTCOME_WHOLE)
+	qt.Assert(t, r.Snapshot, qt.Equals, uint64(2))
+	qt.Assert(t, f.clears, qt.Equals, 1)
 }
 
 // Guards against calls that outlive the query and replies that come after the caller has gone.
--- a/lib/quarantiner/quarantiner_test.go
+++ b/lib/quarantiner/quarantiner_test.go
@@ -70,6 +70,17 @@
 	qt.Assert(t, q.Merge(8, quarantiner.Report{Blocked: true}, now).Blocked, qt.IsTrue)
 }
 
+// Guards against a request that crashed a server counting as good again when its entry makes room for others.
+func TestForgottenSuspectIsNotGood(t *testing.T) {
+	q := quarantiner.New()
+	q.Clear(16, now)
+	q.Crash(16, "a", quarantiner.First, now)
+	for f := range uint64(1024) {
+		q.Crash(16*(f+2), "a", quarantiner.Beside, now.Add(time.Second))
+	}
+	qt.Assert(t, q.Enter(16, true, now.Add(time.Second)).Verdict, qt.Equals, quarantiner.Canary)
+}
+
 // Guards against unbounded memory: good fingerprints and suspects are forgotten, blocked ones last.
 func TestMemoryIsBounded(t *testing.T) {
 	q := quarantiner.New()
