Refuse messages meant for another host at the same address

A host that took over the address of a removed member answered messages for that member, and its incarnation could have brought it into the group under both names, with two votes for one disk. Requests now name their receiver.

Found while writing the test of joining and removing, which is added. go test -race ./lib/replicator ./controld/replica: passed.

--- a/controld/replica/process_test.go
+++ b/controld/replica/process_test.go
@@ -385,3 +385,32 @@
 	g.whole()
 	g.history(accepted)
 }
+
+// Guards against a joining host that founds its own group, and against a removal that stops the group.
+func TestJoinAndRemove(t *testing.T) {
+	g := newGroup(t, 3, 16)
+	accepted := map[uint64]string{}
+	for i := range 20 {
+		id := fmt.Sprintf("before-%d", i)
+		accepted[g.patch(g.hosts, id)] = id
+	}
+	leaving := g.leader()
+	leaving.kill()
+	qt.Assert(t, os.RemoveAll(leaving.data), qt.IsNil)
+	text, err := os.ReadFile(leaving.settings)
+	qt.Assert(t, err, qt.IsNil)
+	joining := *leaving
+	joining.name = "control-9"
+	changed := strings.Replace(string(text), fmt.Sprintf("name = %q\ndata", leaving.name), "name = \"control-9\"\njoin = true\ndata", 1)
+	qt.Assert(t, os.WriteFile(joining.settings, []byte(changed), 0o600), qt.IsNil)
+	g.start(&joining)
+	for _, c := range []*peerv1.ChangeRequest{{Remove: leaving.name}, {Add: &statev1.Replica{Host: joining.name, Address: joining.peers}}} {
+		g.eventually("a change of members", func(ctx context.Context) bool {
+			_, err := g.leader().replica.Change(ctx, c)
+			return err == nil
+		})
+	}
+	*leaving = joining
+	g.whole()
+	g.history(accepted)
+}
--- a/controld/replica/service.go
+++ b/controld/replica/service.go
@@ -25,7 +25,10 @@
 
 // deliver hands a request to the replicator and waits until its response may be sent.
 func (r *Replica) deliver(ctx context.Context, m replicator.Message) (replicator.Message, error) {
-	m.To = r.config.Host
+	if m.To != r.config.Host {
+		// Another member's address leads here. To answer would give one disk two votes.
+		return replicator.Message{}, status.Errorf(codes.FailedPrecondition, "this is %s, not %s", r.config.Host, m.To)
+	}
 	response := make(chan replicator.Message, 1)
 	step := func() {
 		if r.failed != nil {
@@ -57,7 +60,7 @@
 // Vote answers a vote or pre-vote request.
 func (s *Service) Vote(ctx context.Context, in *peerv1.VoteRequest) (*peerv1.VoteResponse, error) {
 	out, err := s.replica.deliver(ctx, replicator.Message{
-		Kind: replicator.VoteRequest, From: in.GetCandidate(), Incarnation: in.GetIncarnation(), Target: in.GetTarget(), Term: in.GetTerm(),
+		Kind: replicator.VoteRequest, From: in.GetCandidate(), To: in.GetReceiver(), Incarnation: in.GetIncarnation(), Target: in.GetTarget(), Term: in.GetTerm(),
 		Previous: in.GetIndex(), Tail: in.GetTail(), Pre: in.GetPre(), Forced: in.GetForced(),
 	})
 	if err != nil {
@@ -69,7 +72,7 @@
 // Append takes records or a heartbeat.
 func (s *Service) Append(ctx context.Context, in *peerv1.AppendRequest) (*peerv1.AppendResponse, error) {
 	out, err := s.replica.deliver(ctx, replicator.Message{
-		Kind: replicator.AppendRequest, From: in.GetLeader(), Incarnation: in.GetIncarnation(), Target: in.GetTarget(), Term: in.GetTerm(),
+		Kind: replicator.AppendRequest, From: in.GetLeader(), To: in.GetReceiver(), Incarnation: in.GetIncarnation(), Target: in.GetTarget(), Term: in.GetTerm(),
 		Previous: in.GetPrevious(), Tail: in.GetTail(), Commit: in.GetCommit(), Records: in.GetRecords(), Round: in.GetRound(),
 	})
 	if err != nil {
@@ -83,7 +86,7 @@
 // Install takes a part of a snapshot.
 func (s *Service) Install(ctx context.Context, in *peerv1.InstallRequest) (*peerv1.InstallResponse, error) {
 	out, err := s.replica.deliver(ctx, replicator.Message{
-		Kind: replicator.InstallRequest, From: in.GetLeader(), Incarnation: in.GetIncarnation(), Target: in.GetTarget(), Term: in.GetTerm(),
+		Kind: replicator.InstallRequest, From: in.GetLeader(), To: in.GetReceiver(), Incarnation: in.GetIncarnation(), Target: in.GetTarget(), Term: in.GetTerm(),
 		Previous: in.GetIndex(), Tail: in.GetTail(), Offset: in.GetOffset(), Data: in.GetData(), Done: in.GetDone(),
 	})
 	if err != nil {
@@ -98,7 +101,7 @@
 	err := r.do(ctx, func() {
 		if r.failed == nil {
 			r.core.Step(r.config.Clock(), replicator.Message{
-				Kind: replicator.HandOver, From: in.GetLeader(), To: r.config.Host, Incarnation: in.GetIncarnation(),
+				Kind: replicator.HandOver, From: in.GetLeader(), To: in.GetReceiver(), Incarnation: in.GetIncarnation(),
 				Target: in.GetTarget(), Term: in.GetTerm(),
 			})
 		}
--- a/controld/replica/transport.go
+++ b/controld/replica/transport.go
@@ -83,13 +83,13 @@
 	switch m.Kind {
 	case replicator.VoteRequest:
 		out, err := client.Vote(ctx, &peerv1.VoteRequest{
-			Candidate: m.From, Incarnation: m.Incarnation, Target: m.Target, Term: m.Term, Index: m.Previous, Tail: m.Tail,
+			Candidate: m.From, Receiver: m.To, Incarnation: m.Incarnation, Target: m.Target, Term: m.Term, Index: m.Previous, Tail: m.Tail,
 			Pre: m.Pre, Forced: m.Forced,
 		})
 		return replicator.Message{Kind: replicator.VoteResponse, Incarnation: out.GetIncarnation(), Term: out.GetTerm(), Granted: out.GetGranted(), Pre: m.Pre}, err
 	case replicator.AppendRequest:
 		out, err := client.Append(ctx, &peerv1.AppendRequest{
-			Leader: m.From, Incarnation: m.Incarnation, Target: m.Target, Term: m.Term, Previous: m.Previous, Tail: m.Tail,
+			Leader: m.From, Receiver: m.To, Incarnation: m.Incarnation, Target: m.Target, Term: m.Term, Previous: m.Previous, Tail: m.Tail,
 			Commit: m.Commit, Records: m.Records, Round: m.Round,
 		})
 		return replicator.Message{
@@ -98,7 +98,7 @@
 		}, err
 	case replicator.InstallRequest:
 		out, err := client.Install(ctx, &peerv1.InstallRequest{
-			Leader: m.From, Incarnation: m.Incarnation, Target: m.Target, Term: m.Term, Index: m.Previous, Tail: m.Tail,
+			Leader: m.From, Receiver: m.To, Incarnation: m.Incarnation, Target: m.Target, Term: m.Term, Index: m.Previous, Tail: m.Tail,
 			Offset: m.Offset, Data: m.Data, Done: m.Done,
 		})
 		return replicator.Message{
@@ -106,7 +106,7 @@
 			Offset: out.GetNext(), Done: out.GetDone(),
 		}, err
 	default:
-		_, err := client.HandOver(ctx, &peerv1.HandOverRequest{Leader: m.From, Incarnation: m.Incarnation, Target: m.Target, Term: m.Term})
+		_, err := client.HandOver(ctx, &peerv1.HandOverRequest{Leader: m.From, Receiver: m.To, Incarnation: m.Incarnation, Target: m.Target, Term: m.Term})
 		return replicator.Message{}, err
 	}
 }
--- a/lib/replicator/replicator.go
+++ b/lib/replicator/replicator.go
@@ -193,6 +193,9 @@
 
 // Step takes a message from another replica.
 func (r *Replicator) Step(now time.Time, m Message) {
+	if m.To != r.config.Host {
+		return
+	}
 	if m.Target != r.state.GetIncarnation() {
 		r.refuseTarget(m)
 		return
--- a/lib/replicator/replicator_test.go
+++ b/lib/replicator/replicator_test.go
@@ -145,6 +145,10 @@
 		qt.Assert(t, ready.Messages[0].Incarnation, qt.Equals, uint64(9))
 		qt.Assert(t, ready.State, qt.IsNil)
 	}
+	// Another host at the address of "b" must not become a member in its name.
+	r.Step(now, replicator.Message{Kind: replicator.VoteRequest, From: "a", To: "c", Incarnation: 1, Target: 9, Term: 3})
+	_, some := r.Ready()
+	qt.Assert(t, some, qt.IsFalse)
 	// A disk lost after the clock went back: the identity must still grow.
 	r.Step(now, replicator.Message{Kind: replicator.AppendRequest, From: "a", To: "b", Incarnation: 1, Target: 20, Term: 3})
 	ready, _ := r.Ready()
