Leave connections for a former owner that is paused, and open none without a lease

Cause: a test that stops the owner's process for some seconds found that the leaf refused 3 connections: the paused owner cannot close its own, and opened new ones when it went on, before it had looked at its lease. Change: an owner keeps at most half of the leaf's limit open and opens nothing without the lease. The cell of a leaf is computed once per configuration version.

--- /dev/null
+++ b/entryd/executor/executor_test.go
@@ -0,0 +1,213 @@
+package executor_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/entryd/executor"
+	"lycheelift.example/entryd/follower"
+	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/leaser"
+	"lycheelift.example/lib/transporter"
+	backendv1 "lycheelift.example/schema/gen/lycheelift/backend/v1"
+	"lycheelift.example/schema/gen/lycheelift/backend/v1/backendv1connect"
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+// leases is a lease that the test gives and takes.
+type leases struct {
+	mu   sync.Mutex
+	held *leaser.Lease
+}
+
+func (l *leases) Held(string, time.Time) (leaser.Lease, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.held == nil {
+		return leaser.Lease{}, false
+	}
+	return *l.held, time.Now().Before(l.held.Until)
+}
+
+func (l *leases) Owner(string, string) (string, bool) { return "other", true }
+
+func (l *leases) set(held *leaser.Lease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = held
+}
+
+// server is a leaf that answers by the body of the call and records how many calls ran at one time.
+type server struct {
+	mu           sync.Mutex
+	active, most int
+	alone        bool
+	beside       bool
+	epoch        uint64
+	calls        int
+}
+
+func (s *server) Execute(ctx context.Context, in *backendv1.ExecuteRequest) (*backendv1.ExecuteResponse, error) {
+	body := string(in.GetBody())
+	s.mu.Lock()
+	s.calls++
+	s.active++
+	s.most = max(s.most, s.active)
+	s.epoch = in.GetEpoch()
+	s.alone = s.alone || body == "alone"
+	s.beside = s.beside || s.alone && s.active > 1
+	s.mu.Unlock()
+	select {
+	case <-time.After(map[string]time.Duration{"slow": 300 * time.Millisecond}[body] + time.Millisecond):
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	if body == "alone" {
+		s.alone = false
+	}
+	out := &backendv1.ExecuteResponse{Attempt: in.GetAttempt(), Snapshot: in.GetSnapshot(), Shard: in.GetShard(), Body: in.GetBody()}
+	switch body {
+	case "attempt":
+		out.Attempt = "another"
+	case "shard":
+		out.Shard++
+	case "snapshot":
+		out.Snapshot++
+	}
+	return out, nil
+}
+
+type fixture struct {
+	*executor.Executor
+
+	leases *leases
+	server *server
+	table  *cataloguer.Table
+	follow *follower.Follower
+	leaf   cataloguer.Leaf
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{leases: &leases{}, server: &server{}, table: cataloguer.New(time.Now()), follow: follower.New(time.Now())}
+	mux := http.NewServeMux()
+	mux.Handle(backendv1connect.NewLeafServiceHandler(f.server))
+	backend := httptest.NewUnstartedServer(mux)
+	backend.Config.Protocols = transporter.Protocols()
+	backend.Start()
+	t.Cleanup(backend.Close)
+	f.version(t, 1, false)
+	f.leaf = cataloguer.Leaf{
+		Name: "leaf", Incarnation: 1, Center: "c", Service: "desk", State: cataloguer.Warm, Slots: 2, Connections: 4,
+		Address: netip.MustParseAddrPort(strings.TrimPrefix(backend.URL, "http://")),
+	}
+	f.announce(cataloguer.Warm)
+	f.leases.set(&leaser.Lease{Epoch: 7, Until: time.Now().Add(time.Hour)})
+	f.Executor = executor.New("self", "c", f.table, f.follow, time.Now)
+	f.Bind(f.leases)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func (f *fixture) version(t *testing.T, number uint64, out bool) {
+	text := `{"centers":{"c":{"region":"r","out":false}}}`
+	if out {
+		text = strings.Replace(text, "false", "true", 1)
+	}
+	_, err := f.follow.Apply(&statev1.Version{Number: number, Document: []byte(text)}, time.Now())
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// announce holds for an hour, so that the test does not depend on its own speed.
+func (f *fixture) announce(state cataloguer.State) {
+	f.leaf.Sequence++
+	f.leaf.State = state
+	f.leaf.Heard = time.Now().Add(time.Hour)
+	leaf := f.leaf
+	f.table.Put(&leaf)
+}
+
+func (f *fixture) ask(body string, timeout time.Duration) *peerv1.CallResult {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return f.Execute(ctx, &peerv1.Call{
+		Attempt: "a/1/1", Service: "desk", Snapshot: 1, Leaf: "leaf", Body: []byte(body), Alone: body == "alone",
+	})
+}
+
+// Guards against a call that reaches a leaf without a lease, in a removed data centre or while the leaf drains, and
+// against a refusal that does not say truthfully that nothing was sent.
+func TestRefusalsSendNothing(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t)
+	good := f.ask("x", time.Minute)
+	c.Assert(good.GetReason(), qt.Equals, callerv1.Reason_REASON_UNSPECIFIED)
+	c.Assert(f.server.epoch, qt.Equals, uint64(7))
+	refused := func(reason callerv1.Reason) *peerv1.CallResult {
+		r := f.ask("x", time.Minute)
+		c.Check(r.GetReason(), qt.Equals, reason)
+		c.Check(r.GetUnsent(), qt.IsTrue)
+		return r
+	}
+	f.announce(cataloguer.Draining)
+	refused(callerv1.Reason_REASON_DRAINING)
+	f.leases.set(&leaser.Lease{Epoch: 7, Until: time.Now().Add(time.Hour), Yielding: true})
+	refused(callerv1.Reason_REASON_NOT_OWNER)
+	f.leases.set(nil)
+	c.Check(refused(callerv1.Reason_REASON_NOT_OWNER).GetOwner(), qt.Equals, "other")
+	f.version(t, 2, true)
+	refused(callerv1.Reason_REASON_REMOVED)
+	c.Assert(f.server.calls, qt.Equals, 1)
+}
+
+// Guards against an answer to another call, shard or snapshot that is handed to the caller.
+func TestForeignAnswersAreDropped(t *testing.T) {
+	f := newFixture(t)
+	for _, body := range []string{"attempt", "shard", "snapshot"} {
+		r := f.ask(body, time.Minute)
+		qt.Check(t, r.GetReason(), qt.Equals, callerv1.Reason_REASON_SERVER_ERROR, qt.Commentf(body))
+		qt.Check(t, r.GetBody(), qt.HasLen, 0)
+		qt.Check(t, r.GetUnsent(), qt.IsFalse)
+	}
+}
+
+// Guards against a slot that is used again while the leaf still runs a call whose caller has gone, and against a call
+// beside one that must run alone.
+func TestSlotsSeenByTheLeaf(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(t)
+	for range 20 {
+		c.Assert(f.ask("x", time.Minute).GetReason(), qt.Equals, callerv1.Reason_REASON_UNSPECIFIED)
+	}
+	var wait sync.WaitGroup
+	for i := range 60 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			switch i % 3 {
+			case 0:
+				f.ask("slow", 20*time.Millisecond)
+			case 1:
+				f.ask("alone", time.Minute)
+			default:
+				f.ask("x", time.Minute)
+			}
+		}()
+	}
+	wait.Wait()
+	f.server.mu.Lock()
+	defer f.server.mu.Unlock()
+	c.Assert(f.server.most, qt.Equals, 2)
+	c.Assert(f.server.beside, qt.IsFalse)
+}
--- a/entryd/holder/holder.go
+++ b/entryd/holder/holder.go
@@ -58,12 +58,15 @@
 	changed     func(leaf string)
 	wake        chan struct{}
 
-	mu       sync.Mutex
-	state    *leaser.Holder
-	granter  *leaser.Granter
-	number   uint64
-	seen     bool
-	cell     ranker.Cell
+	mu      sync.Mutex
+	state   *leaser.Holder
+	granter *leaser.Granter
+	number  uint64
+	seen    bool
+	cell    ranker.Cell
+	cells   []ranker.Cell
+	// mine says of each leaf of the data centre whether it belongs to this host's cell.
+	mine     map[string]bool
 	contacts map[string]time.Time
 
 	// leases holds a *leaser.Lease by leaf, for readers that must not wait for the lock.
@@ -132,6 +135,7 @@
 	now := h.clock()
 	h.mu.Lock()
 	h.configure(now)
+	h.followLeaves(now)
 	messages := h.state.Tick(now, h.live.Dead)
 	messages = append(messages, h.yielded(now)...)
 	messages = append(messages, h.greet(messages, now)...)
@@ -140,30 +144,43 @@
 	h.deliver(ctx, messages)
 }
 
-// configure follows the configuration and the announcements.
+// configure follows the configuration.
 func (h *Holder) configure(now time.Time) {
 	view := h.follow.View()
-	if view.Number != h.number || !h.seen {
-		h.number = view.Number
-		h.seen = true
-		h.cell = ranker.Cell{}
-		var groups []uint64
-		for _, c := range view.Cells {
-			if slices.Contains(c.Hosts, h.self) {
-				h.cell = c
-			}
-			if slices.Contains(c.Granters, h.self) {
-				groups = append(groups, leaser.Group(c))
-			}
+	if view.Number == h.number && h.seen {
+		return
+	}
+	h.number = view.Number
+	h.seen = true
+	h.cell = ranker.Cell{}
+	h.mine = make(map[string]bool)
+	var groups []uint64
+	for _, c := range view.Cells {
+		if slices.Contains(c.Hosts, h.self) {
+			h.cell = c
+		}
+		if slices.Contains(c.Granters, h.self) {
+			groups = append(groups, leaser.Group(c))
 		}
-		h.granter.Configure(groups, now)
 	}
+	h.cells = view.Cells
+	h.granter.Configure(groups, now)
+}
+
+// followLeaves follows the announcements. The cell of a leaf is computed once per configuration version.
+func (h *Holder) followLeaves(now time.Time) {
 	var leaves []string
 	for _, l := range h.table.All(now) {
 		if l.Center != h.cell.Center {
 			continue
 		}
-		if cell, ok := ranker.Locate(l.Name, l.Center, view.Cells); ok && cell.Name == h.cell.Name {
+		mine, known := h.mine[l.Name]
+		if !known {
+			cell, ok := ranker.Locate(l.Name, l.Center, h.cells)
+			mine = ok && cell.Name == h.cell.Name
+			h.mine[l.Name] = mine
+		}
+		if mine {
 			leaves = append(leaves, l.Name)
 		}
 	}
--- a/entryd/pooler/pooler.go
+++ b/entryd/pooler/pooler.go
@@ -84,16 +84,23 @@
 	p.fill()
 }
 
+// target is the number of connections to keep. Half of the leaf's limit is left for the former owner: one that is
+// paused cannot close its connections when its lease ends.
+func (p *Pool) target() int {
+	return min(p.slots+Spare, max(p.limit/2, 1))
+}
+
 // fill opens connections up to the target; those that are being opened or closed count.
 func (p *Pool) fill() {
-	if p.closed || p.retry != nil {
+	// Without the lease no connection may be opened: the next owner opens its own.
+	if p.closed || p.retry != nil || !p.guard() {
 		return
 	}
 	now := p.clock()
 	for len(p.closing) > 0 && !now.Before(p.closing[0]) {
 		p.closing = p.closing[1:]
 	}
-	for len(p.open)+p.opening < p.slots+Spare {
+	for len(p.open)+p.opening < p.target() {
 		if len(p.open)+p.opening+len(p.closing) >= p.limit {
 			if len(p.closing) > 0 {
 				p.later(p.closing[0].Sub(now))
@@ -246,7 +253,7 @@
 	case !ok:
 	case c.client.Err() != nil:
 		p.drop(c)
-	case broken || p.closed || len(p.open) > min(p.slots+Spare, p.limit):
+	case broken || p.closed || len(p.open) > p.target():
 		delete(p.open, c)
 		p.linger(linger)
 		c.close()
@@ -297,7 +304,7 @@
 // leaf's limit no room may be left for the attempt; the answer is then false.
 func (p *Pool) Refused(ctx context.Context) bool {
 	p.mu.Lock()
-	if len(p.open)+p.opening+len(p.closing) >= p.limit {
+	if !p.guard() || len(p.open)+p.opening+len(p.closing) >= p.limit {
 		p.mu.Unlock()
 		return false
 	}
