--- a/leafd/leaf/leaf.go
+++ b/leafd/leaf/leaf.go
@@ -187,6 +187,17 @@
 	l.holdings = h
 }
 
+// Advance moves every holding to another snapshot.
+func (l *Leaf) Advance(snapshot uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*backendv1.Holding, 0, len(l.holdings))
+	for _, h := range l.holdings {
+		out = append(out, &backendv1.Holding{Snapshot: snapshot, Shard: h.GetShard(), Shards: h.GetShards()})
+	}
+	l.holdings = out
+}
+
 // Record returns a copy of the counters.
 func (l *Leaf) Record() Record {
 	l.mu.Lock()
--- a/leafd/switcher/switcher.go
+++ b/leafd/switcher/switcher.go
@@ -4,13 +4,16 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 
+	"github.com/samber/oops"
+
 	"lycheelift.example/leafd/leaf"
 	backendv1 "lycheelift.example/schema/gen/lycheelift/backend/v1"
 )
 
-// Handler serves GET /record, and POST /behave, /chill and /state for the leaves whose name begins with ?leaf=.
+// Handler serves GET /record, and POST /behave, /chill, /state and /hold for the leaves whose name begins with ?leaf=.
 func Handler(leaves []*leaf.Leaf) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /record", func(w http.ResponseWriter, _ *http.Request) {
@@ -39,9 +42,20 @@
 		l.SetState(backendv1.State(backendv1.State_value["STATE_"+strings.ToUpper(r.URL.Query().Get("state"))]))
 		return nil
 	})
+	each("POST /hold", hold)
 	return mux
 }
 
+// hold replaces the snapshot of every holding by the query parameter "snapshot", as a new index version does.
+func hold(l *leaf.Leaf, r *http.Request) error {
+	snapshot, err := strconv.ParseUint(r.URL.Query().Get("snapshot"), 10, 64)
+	if err != nil {
+		return oops.In("switcher").Wrapf(err, "snapshot")
+	}
+	l.Advance(snapshot)
+	return nil
+}
+
 // behave overwrites the fields that the query parameter "set" holds as JSON.
 func behave(l *leaf.Leaf, r *http.Request) error {
 	var err error
--- a/loader/stager/stager.go
+++ b/loader/stager/stager.go
@@ -20,6 +20,8 @@
 	"github.com/samber/oops"
 
 	"lycheelift.example/lib/transporter"
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+	"lycheelift.example/schema/gen/lycheelift/caller/v1/callerv1connect"
 	operatorv1 "lycheelift.example/schema/gen/lycheelift/operator/v1"
 	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
@@ -264,6 +266,37 @@
 	Leaf  string    `json:"leaf"`
 	Calls int64     `json:"calls"`
 	Last  time.Time `json:"last"`
+	// Crashes is the number of calls that crashed the server.
+	Crashes int `json:"crashes"`
+	// Keys counts the runs of each idempotency key.
+	Keys map[string]int `json:"keys"`
+}
+
+// Switch changes the stand-ins: path names the switch with its query.
+func (d *Deployment) Switch(ctx context.Context, path string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.record+path, nil)
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	response, err := d.client.Do(request)
+	if err != nil {
+		return oops.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return oops.Errorf("%s: %s", path, response.Status)
+	}
+	return nil
+}
+
+// Ask sends one query to a host.
+func (d *Deployment) Ask(ctx context.Context, h *Host, in *callerv1.QueryRequest) (*callerv1.QueryResponse, error) {
+	return callerv1connect.NewQueryServiceClient(d.client, "http://"+h.Callers).Query(ctx, in)
+}
+
+// Answers searches the record of answers.
+func (d *Deployment) Answers(ctx context.Context) (*operatorv1.AnswersResponse, error) {
+	return operatorv1connect.NewOperatorServiceClient(d.client, "http://"+d.operators).Answers(ctx, &operatorv1.AnswersRequest{})
 }
 
 // Records returns the records of the stand-ins of a data centre.
