--- a/lib/planner/fake_test.go
+++ b/lib/planner/fake_test.go
@@ -58,7 +58,8 @@
 	leaves  map[uint64][][]*cataloguer.Leaf
 	switchy time.Duration // after this time leaves no longer hold snapshot 1; zero means never
 	trigger time.Duration
-	hedges  int // budget; spent counts down
+	learned time.Duration // when this host hears of the new snapshot
+	hedges  int           // budget; spent counts down
 	retries int
 	denials int // hedges that are denied before any is granted
 	fates   func() fate
@@ -117,7 +118,7 @@
 // Pin returns the snapshot that the leaves hold now.
 func (f *fake) Pin(above uint64, _ time.Time) (*cataloguer.Snapshot, planner.Reason) {
 	for _, n := range []uint64{2, 1} {
-		if n > above && f.leaves[n] != nil && f.holds(n) {
+		if n > above && f.leaves[n] != nil && f.holds(n) && (n == 1 || !f.now.Before(epoch.Add(f.learned))) {
 			return &cataloguer.Snapshot{Number: n, Shards: uint32(f.shards[n]), Holders: f.leaves[n]}, 0
 		}
 	}
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -71,10 +71,13 @@
 	crashed   bool
 	reporting int
 	trigger   time.Duration
-	hedges    []due
-	timer     time.Time
-	closed    bool
-	actions   []Action
+	// parked holds the shards whose snapshot is gone while no newer one is known yet; recheck is the next look.
+	parked  []uint32
+	recheck time.Time
+	hedges  []due
+	timer   time.Time
+	closed  bool
+	actions []Action
 }
 
 // Option changes a planner.
@@ -115,6 +118,7 @@
 		if !now.Before(p.end()) {
 			p.giveUp(reasonDeadline)
 		}
+		p.unpark(now)
 		p.hedge(now)
 	}
 	p.advance(now)
@@ -139,6 +143,9 @@
 	if len(p.hedges) > 0 && p.hedges[0].at.Before(next) {
 		next = p.hedges[0].at
 	}
+	if len(p.parked) > 0 && p.recheck.Before(next) {
+		next = p.recheck
+	}
 	if !next.Equal(p.timer) {
 		p.timer = next
 		p.actions = append(p.actions, Action{Kind: SetTimer, At: next})
@@ -154,6 +161,7 @@
 	}
 	p.reporting = 0
 	p.waiting = false
+	p.parked = nil
 }
 
 // afterEnd drops what arrives when the reply has been given.
--- a/lib/planner/planner_test.go
+++ b/lib/planner/planner_test.go
@@ -85,6 +85,27 @@
 	qt.Assert(t, f.records[1].call.Kind, qt.Equals, planner.Resend)
 }
 
+// Guards against a query that fails because its leaves have moved to a snapshot that this host hears of only later,
+// and against one that waits for it beyond half of its time.
+func TestSnapshotThatIsNotKnownYetIsAwaited(t *testing.T) {
+	for _, canary := range []bool{false, true} {
+		f := newFake(1, 3, 1).script(broken)
+		f.hold(2, 3, 1)
+		f.trigger, f.switchy, f.learned = 0, time.Nanosecond, 30*time.Millisecond
+		q := planner.Query{Canary: canary}
+		r := f.run(q)
+		qt.Assert(t, r.Outcome, qt.Equals, callerv1.Outcome_OUTCOME_WHOLE)
+		qt.Assert(t, r.Snapshot, qt.Equals, uint64(2))
+
+		f = newFake(1, 3, 1).script(broken)
+		f.trigger, f.switchy = 0, time.Nanosecond
+		r = f.run(q)
+		qt.Assert(t, r.Outcome, qt.Equals, map[bool]callerv1.Outcome{false: callerv1.Outcome_OUTCOME_PARTIAL, true: callerv1.Outcome_OUTCOME_FAILED}[canary])
+		qt.Assert(t, r.Missing[0].Reason, qt.Equals, callerv1.Reason_REASON_SNAPSHOT_GONE)
+		qt.Assert(t, f.finished.Sub(epoch) <= 60*time.Millisecond, qt.IsTrue)
+	}
+}
+
 // Guards against a reply that mixes snapshots when the leaves switch half way, and against a rerun that cannot end
 // in time.
 func TestSnapshotSwitchHalfWay(t *testing.T) {
--- a/lib/planner/returned.go
+++ b/lib/planner/returned.go
@@ -58,6 +58,9 @@
 	if (r.Reason == reasonGone || r.Reason == reasonNoReplica) && p.rerun(now) {
 		return
 	}
+	if r.Reason == reasonGone && p.park(r.Shard, now) {
+		return
+	}
 	p.settle(r.Shard, r.Reason)
 	if p.waiting {
 		p.canary(now)
--- a/lib/planner/start.go
+++ b/lib/planner/start.go
@@ -24,6 +24,7 @@
 	p.left = int(snapshot.Shards)
 	p.shards = make([]shard, snapshot.Shards)
 	p.hedges = p.hedges[:0]
+	p.parked = nil
 	p.trigger = p.world.Trigger()
 	for i := range p.shards {
 		p.shards[i].last = none
