Learn owners and versions from results; tell entry hosts the newest version that a control host knows

Cause: a host that was named as the owner was forgotten, and a stale control host counted as heard. Change: the acceptor passes hints to the holder and versions to the follower; Fetch carries the newest version.

--- a/controld/keeper/keeper.go
+++ b/controld/keeper/keeper.go
@@ -27,6 +27,8 @@
 	Begin(ctx context.Context, b *statev1.Begin) (*statev1.BeginResult, error)
 	Finish(ctx context.Context, f *statev1.Finish) (*statev1.FinishResult, error)
 	Fetch(version uint64, hosts []*statev1.InForce) *statev1.Version
+	// Newest returns the number of the newest version that this host knows.
+	Newest() uint64
 }
 
 // Keeper serves the control service.
@@ -82,7 +84,7 @@
 			return nil, malformed("a report needs a host name of at most %d bytes", maxName)
 		}
 	}
-	return &peerv1.FetchResponse{Version: k.store.Fetch(in.GetVersion(), in.GetHosts())}, nil
+	return &peerv1.FetchResponse{Version: k.store.Fetch(in.GetVersion(), in.GetHosts()), Newest: k.store.Newest()}, nil
 }
 
 func named(names ...string) bool {
--- a/controld/store/fetch.go
+++ b/controld/store/fetch.go
@@ -31,6 +31,12 @@
 	return v
 }
 
+// Newest returns the number of the newest version that the local state knows.
+func (s *Store) Newest() uint64 {
+	v, _ := s.local(0)
+	return v.GetNumber()
+}
+
 // Report keeps reports of versions in force.
 func (s *Store) Report(hosts []*statev1.InForce) {
 	s.reports.put(hosts, s.clock())
--- a/entryd/acceptor/acceptor.go
+++ b/entryd/acceptor/acceptor.go
@@ -28,6 +28,8 @@
 // Owners knows which host owns a leaf.
 type Owners interface {
 	Owner(leaf *cataloguer.Leaf) (host string, ok bool)
+	// Hint notes the owner that another host has named.
+	Hint(leaf, host string)
 }
 
 // Isolator keeps requests that crash backend servers away from them.
--- a/entryd/acceptor/owners.go
+++ b/entryd/acceptor/owners.go
@@ -59,3 +59,6 @@
 	}
 	r.known[key] = host
 }
+
+// Hint is of no use to a static order.
+func (*Rendezvous) Hint(string, string) {}
--- a/entryd/acceptor/run.go
+++ b/entryd/acceptor/run.go
@@ -75,6 +75,7 @@
 	select {
 	case <-q.box.Ready():
 		for _, r := range q.box.Take() {
+			q.accept.learn(r)
 			q.step(planner.Event{Kind: planner.Returned, Result: result(r)})
 		}
 	case <-q.timer.C:
@@ -86,6 +87,16 @@
 	}
 }
 
+// learn takes from a result what the answering host knows: the owner of the leaf, and a newer version.
+func (a *Acceptor) learn(r *peerv1.CallResult) {
+	if r.GetReason() == callerv1.Reason_REASON_NOT_OWNER && r.GetOwner() != "" {
+		a.owners.Hint(r.GetLeaf(), r.GetOwner())
+	}
+	if r.GetHost() != "" {
+		a.follow.Noticed(r.GetHost(), r.GetVersion())
+	}
+}
+
 // step gives an event to the planner and does what it asks for.
 func (q *running) step(e planner.Event) {
 	now := q.accept.clock()
--- a/entryd/executor/executor.go
+++ b/entryd/executor/executor.go
@@ -87,7 +87,7 @@
 func (e *Executor) Execute(ctx context.Context, call *peerv1.Call) *peerv1.CallResult {
 	result := &peerv1.CallResult{
 		Attempt: call.GetAttempt(), Snapshot: call.GetSnapshot(), Shard: call.GetShard(), Leaf: call.GetLeaf(),
-		Version: e.follow.View().Number,
+		Version: e.follow.View().Number, Host: e.self,
 	}
 	info, ok := e.leaves.Known(call.GetService(), call.GetLeaf())
 	if !ok {
