Run the demo over TLS, and take the data centre out with the operators' command

Cause: TLS was proved for single connections only. Change: the demo issues an identity for each process and role; stand-ins announce and the load asks with theirs.

--- a/demo/runner/deployment.go
+++ b/demo/runner/deployment.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/samber/oops"
+
+	"lycheelift.example/lib/authorizer"
 )
 
 // Size of the demo's deployment.
@@ -30,6 +32,7 @@
 	each      int // entry hosts of a data centre
 	base      int // version that the next patch is made against
 	folder    string
+	identity  *identities
 	hosts     []host
 	operators []string
 	processes []*process
@@ -38,11 +41,15 @@
 func centerName(i int) string { return fmt.Sprintf("center-%d", i+1) }
 
 // launch starts control hosts, entry hosts and stand-in backend servers.
-func launch(ctx context.Context, binaries, folder string, each int) (*deployment, error) {
+func launch(ctx context.Context, binaries, folder string, each int, secure bool) (*deployment, error) {
 	d := &deployment{binaries: binaries, folder: folder, each: each, base: 1}
+	var err error
+	if d.identity, err = newIdentities(folder, secure); err != nil {
+		return d, err
+	}
 	free, err := ports(2*controls + 2*centerCount*each)
 	if err != nil {
-		return nil, err
+		return d, err
 	}
 	next := func() string {
 		out := free[0]
@@ -55,8 +62,12 @@
 	if err := d.launchEntries(next); err != nil {
 		return d, err
 	}
+	security, err := d.identity.security("platform", authorizer.Operator)
+	if err != nil {
+		return d, err
+	}
 	for _, h := range d.hosts {
-		if err := await(ctx, h.callers); err != nil {
+		if err := await(ctx, security, h.callers); err != nil {
 			return d, err
 		}
 	}
@@ -80,8 +91,12 @@
 	}
 	for i := range controls {
 		name := fmt.Sprintf("control-%d", i+1)
-		text := fmt.Sprintf("name = %q\ndata = %q\n[listen]\noperators = %q\npeers = %q\n[tls]\noff = true\n%s",
-			name, filepath.Join(d.folder, name), d.operators[i], peers[i], strings.Join(members, ""))
+		tls, err := d.identity.settings(name)
+		if err != nil {
+			return err
+		}
+		text := fmt.Sprintf("name = %q\ndata = %q\n[listen]\noperators = %q\npeers = %q\n%s%s",
+			name, filepath.Join(d.folder, name), d.operators[i], peers[i], tls, strings.Join(members, ""))
 		path := filepath.Join(d.folder, name+".toml")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			return oops.Wrap(err)
@@ -104,8 +119,12 @@
 		})
 	}
 	for _, h := range d.hosts {
-		text := fmt.Sprintf("name = %q\ncenter = %q\ncontrol = %s\ngrace = \"200ms\"\n[listen]\ncallers = %q\npeers = %q\n[tls]\noff = true\n",
-			h.name, h.center, control, h.callers, h.peers)
+		tls, err := d.identity.settings(h.name)
+		if err != nil {
+			return err
+		}
+		text := fmt.Sprintf("name = %q\ncenter = %q\ncontrol = %s\ngrace = \"200ms\"\n[listen]\ncallers = %q\npeers = %q\n%s",
+			h.name, h.center, control, h.callers, h.peers, tls)
 		path := filepath.Join(d.folder, h.name+".toml")
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil { //nolint:gosec // The folder is the demo's own.
 			return oops.Wrap(err)
@@ -130,7 +149,11 @@
 		"--service", service, "--shards", fmt.Sprint(shards), "--replicas", fmt.Sprint(replicas),
 		"--centers", strings.Join(centers, ","), "--entries", strings.Join(entries, ","), "--slots", "2", "--connections", "25",
 	}, args...)
-	return d.start("leaves-"+service, "leafd", args...)
+	flags, err := d.identity.flags("leaves-"+service, authorizer.Backend)
+	if err != nil {
+		return err
+	}
+	return d.start("leaves-"+service, "leafd", append(args, flags...)...)
 }
 
 // document returns the first configuration patch.
--- a/demo/runner/measure.go
+++ b/demo/runner/measure.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return oops.Wrap(err)
 	}
-	d, err := launch(ctx, binaries, logs, s.each)
+	d, err := launch(ctx, binaries, logs, s.each, false)
 	defer func() {
 		if stopped := d.stop(); err == nil {
 			err = stopped
--- a/demo/runner/process.go
+++ b/demo/runner/process.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"lycheelift.example/lib/transporter"
 )
 
 // process is one program that the demo started.
@@ -71,17 +73,19 @@
 }
 
 // await asks a host until it is ready.
-func await(ctx context.Context, address string) error {
+func await(ctx context.Context, security *transporter.Security, address string) error {
 	const interval = 50 * time.Millisecond
 	const patience = 15 * time.Second
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	client := security.Client(transporter.Silence{Idle: interval, Answer: patience})
+	defer client.CloseIdleConnections()
 	for {
-		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/ready", nil)
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, security.URL(address)+"/ready", nil)
 		if err != nil {
 			return oops.Wrap(err)
 		}
-		if response, err := http.DefaultClient.Do(request); err == nil {
+		if response, err := client.Do(request); err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
 				return nil
@@ -99,6 +103,10 @@
 func run(ctx context.Context, w io.Writer, binaries, program string, args ...string) error {
 	fmt.Fprintf(w, "$ %s", program)
 	for _, a := range args {
+		if a == "--certificate" {
+			fmt.Fprint(w, " ...") // The files of the identity only hide the rest.
+			break
+		}
 		fmt.Fprintf(w, " %s", a)
 	}
 	fmt.Fprintln(w)
--- a/demo/runner/runner.go
+++ b/demo/runner/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/samber/oops"
 
+	"lycheelift.example/lib/authorizer"
 	"lycheelift.example/loader/driver"
 	"lycheelift.example/loader/reporter"
 )
@@ -32,7 +33,7 @@
 	if err != nil {
 		return oops.Wrap(err)
 	}
-	d, err := launch(ctx, binaries, folder, hostsEach)
+	d, err := launch(ctx, binaries, folder, hostsEach, true)
 	defer func() {
 		if stopped := d.stop(); err == nil {
 			err = stopped
@@ -59,25 +60,40 @@
 	}
 	time.Sleep(settle)
 	for _, question := range []string{"name=Lotca", "name=Sirena", "tag=4711"} {
-		if err := run(ctx, w, d.binaries, "lycheelift", "ask", "desk", question, "--least", "1", "--entry", d.hosts[0].callers); err != nil {
+		if err := d.operate(ctx, w, authorizer.Caller, "ask", "desk", question, "--tenant", tenant, "--least", "1", "--entry", d.hosts[0].callers); err != nil {
 			return err
 		}
 	}
 	for range 2 {
-		if err := run(ctx, w, d.binaries, "lycheelift", "ask", "desk", "stamp=licence-17", "--key", "licence-17", "--issued", time.Now().Format(time.DateOnly)+"T00:00:00Z", "--entry", d.hosts[1].callers); err != nil {
+		if err := d.operate(ctx, w, authorizer.Caller, "ask", "desk", "stamp=licence-17", "--tenant", tenant, "--key", "licence-17", "--issued", time.Now().Format(time.DateOnly)+"T00:00:00Z", "--entry", d.hosts[1].callers); err != nil {
 			return err
 		}
 	}
-	results := []*driver.Result{d.load(ctx, "before")}
+	security, err := d.identity.security(tenant, authorizer.Caller)
+	if err != nil {
+		return err
+	}
+	load := driver.New(security)
+	results := []*driver.Result{d.load(ctx, load, "before")}
 	for _, out := range []bool{true, false} {
-		body := mustJSON(map[string]any{"centers": map[string]any{centerName(1): map[string]any{"out": out}}})
-		if err := d.patch(ctx, w, body, fmt.Sprintf("%s out: %t", centerName(1), out)); err != nil {
+		command := map[bool]string{true: "out", false: "in"}[out]
+		err := d.operate(ctx, w, authorizer.Operator, command, centerName(1), "--reason", "power work", "--control", strings.Join(d.operators, ","))
+		if err != nil {
 			return err
 		}
-		results = append(results, d.load(ctx, fmt.Sprintf("%s out=%t", centerName(1), out)))
+		results = append(results, d.load(ctx, load, command+" "+centerName(1)))
 	}
 	reporter.Table(w, results)
-	return run(ctx, w, d.binaries, "lycheelift", "answers", "--limit", "5", "--control", strings.Join(d.operators, ","))
+	return d.operate(ctx, w, authorizer.Analyst, "answers", "--limit", "5", "--control", strings.Join(d.operators, ","))
+}
+
+// operate runs the operators' command line in a role.
+func (d *deployment) operate(ctx context.Context, w io.Writer, role authorizer.Role, args ...string) error {
+	flags, err := d.identity.flags(map[bool]string{true: tenant, false: string(role)}[role == authorizer.Caller], role)
+	if err != nil {
+		return err
+	}
+	return run(ctx, w, d.binaries, "lycheelift", append(args, flags...)...)
 }
 
 func (d *deployment) patch(ctx context.Context, w io.Writer, body []byte, reason string) error {
@@ -87,20 +103,20 @@
 	if err := os.WriteFile(path, body, 0o600); err != nil {
 		return oops.Wrap(err)
 	}
-	return run(ctx, w, d.binaries, "lycheelift", "patch", path, "--base", fmt.Sprint(base), "--author", "demo", "--reason", reason,
+	return d.operate(ctx, w, authorizer.Operator, "patch", path, "--base", fmt.Sprint(base), "--author", "demo", "--reason", reason,
 		"--control", strings.Join(d.operators, ","))
 }
 
 // load drives the hosts of the data centres that stay in, as the platform's balancer does.
-func (d *deployment) load(ctx context.Context, name string) *driver.Result {
+func (d *deployment) load(ctx context.Context, load *driver.Driver, name string) *driver.Result {
 	var entries []string
 	for _, h := range d.hosts {
 		if h.center != centerName(1) {
 			entries = append(entries, h.callers)
 		}
 	}
-	return driver.New().Run(ctx, driver.Load{
-		Name: name, Services: []string{"desk"}, Body: "name=Lotca", Distinct: 1, Entries: entries,
+	return load.Run(ctx, driver.Load{
+		Name: name, Tenant: tenant, Services: []string{"desk"}, Body: "name=Lotca", Distinct: 1, Entries: entries,
 		Rate: rate, Duration: phase, Deadline: time.Second,
 	})
 }
--- a/leafd/command/command.go
+++ b/leafd/command/command.go
@@ -32,6 +32,8 @@
 	seed        uint64
 	announce    time.Duration
 	pack        int
+	files       transporter.Files
+	secure      *transporter.Security
 	behave      leaf.Behaviour
 }
 
@@ -58,6 +60,9 @@
 	f.StringVar(&o.control, "control", "127.0.0.1:0", "address for switches and records")
 	f.Uint64Var(&o.seed, "seed", 1, "seed of the random latencies")
 	f.DurationVar(&o.announce, "announce", 500*time.Millisecond, "time between two announcements of a leaf; the lease is 2s")
+	f.StringVar(&o.files.Certificate, "certificate", "", "file with the certificate to announce with, PEM; without one TLS is off")
+	f.StringVar(&o.files.Key, "key-file", "", "file with the private key, PEM")
+	f.StringVar(&o.files.Authority, "authority", "", "file with the authority of the entry hosts, PEM")
 	f.DurationVar(&o.behave.Latency, "latency", 2*time.Millisecond, "usual time of a call")
 	f.Float64Var(&o.behave.Slow, "slow", 0, "part of calls that are slow")
 	f.Float64Var(&o.behave.Factor, "factor", 20, "how many times longer a slow call takes")
@@ -76,6 +81,10 @@
 	if len(o.centers) == 0 || len(o.entries) == 0 {
 		return oops.Errorf("centers and entries are required")
 	}
+	var err error
+	if o.secure, err = transporter.NewSecurity(o.files.Certificate == "", o.files, time.Now, o.entries...); err != nil {
+		return err
+	}
 	ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	leaves := make([]*leaf.Leaf, 0, o.shards*o.replicas)
@@ -109,7 +118,7 @@
 		Center: o.centers[replica%len(o.centers)], Service: o.service, Slots: o.slots, Connections: o.connections,
 		Holdings: o.holdings(shard),
 		Address:  "127.0.0.1:0", Entries: o.entries, Seed: o.seed + uint64(shard*o.replicas+replica), //nolint:gosec // Small numbers from flags.
-		Behaviour: o.behave, Announce: o.announce,
+		Secure: o.secure, Behaviour: o.behave, Announce: o.announce,
 	}
 }
 
--- a/leafd/leaf/announce.go
+++ b/leafd/leaf/announce.go
@@ -53,7 +53,7 @@
 func (l *Leaf) announce(ctx context.Context, entry string) bool {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	_, err := backendv1connect.NewAnnounceServiceClient(l.client, "http://"+entry).Announce(ctx, l.announcement())
+	_, err := backendv1connect.NewAnnounceServiceClient(l.client, l.secure.URL(entry)).Announce(ctx, l.announcement())
 	return err == nil
 }
 
--- a/leafd/leaf/leaf.go
+++ b/leafd/leaf/leaf.go
@@ -88,7 +88,9 @@
 	Holdings    []*backendv1.Holding
 	Address     string
 	Entries     []string
-	Seed        uint64
+	// Secure makes the connections to entry hosts; nil means without TLS.
+	Secure *transporter.Security
+	Seed   uint64
 	// Announce is the time between two announcements; zero means 500 ms.
 	Announce  time.Duration
 	Behaviour Behaviour
@@ -98,6 +100,7 @@
 type Leaf struct {
 	config Config
 	client *http.Client
+	secure *transporter.Security
 
 	mu          sync.Mutex
 	behave      Behaviour
@@ -124,7 +127,11 @@
 func New(c Config) *Leaf {
 	l := &Leaf{
 		config: c, behave: c.Behaviour, random: rand.New(rand.NewPCG(c.Seed, 1)), //nolint:gosec // Reproducible stand-in.
-		client: shared(), holdings: c.Holdings,
+		client: shared(), secure: transporter.Clear(), holdings: c.Holdings,
+	}
+	if c.Secure != nil {
+		l.secure = c.Secure
+		l.client = c.Secure.Client(transporter.Silence{Idle: time.Second, Answer: time.Second})
 	}
 	l.record.Leaf = c.Name
 	l.record.Keys = make(map[string]int)
--- a/lib/transporter/security.go
+++ b/lib/transporter/security.go
@@ -44,6 +44,11 @@
 	return &Security{}, nil
 }
 
+// Clear returns a Security without TLS, for stand-ins and tests on loopback.
+func Clear() *Security {
+	return &Security{}
+}
+
 // Open reports whether TLS is off.
 func (s *Security) Open() bool {
 	return s.identity == nil
--- a/loader/command/run.go
+++ b/loader/command/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"lycheelift.example/lib/transporter"
 	"lycheelift.example/loader/collector"
 	"lycheelift.example/loader/driver"
 	"lycheelift.example/loader/reporter"
@@ -24,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	result := driver.New().Run(ctx, o.load)
+	result := driver.New(transporter.Clear()).Run(ctx, o.load)
 	after, err := collector.Read(ctx, o.records, o.load.Services)
 	if err != nil {
 		return err
--- a/loader/driver/driver.go
+++ b/loader/driver/driver.go
@@ -58,12 +58,13 @@
 // Driver runs loads.
 type Driver struct {
 	client *http.Client
+	secure *transporter.Security
 }
 
-// New returns a driver.
-func New() *Driver {
+// New returns a driver with a caller's TLS identity.
+func New(secure *transporter.Security) *Driver {
 	const silence = 5 * time.Second
-	return &Driver{client: transporter.Client(transporter.Silence{Idle: silence, Answer: silence})}
+	return &Driver{secure: secure, client: secure.Client(transporter.Silence{Idle: silence, Answer: silence})}
 }
 
 // run collects the results of one load.
@@ -82,7 +83,7 @@
 	}}
 	clients := make([]callerv1connect.QueryServiceClient, 0, len(load.Entries))
 	for _, e := range load.Entries {
-		clients = append(clients, callerv1connect.NewQueryServiceClient(d.client, "http://"+e))
+		clients = append(clients, callerv1connect.NewQueryServiceClient(d.client, d.secure.URL(e)))
 	}
 	total := int(load.Rate * load.Duration.Seconds())
 	start := time.Now()
