Encode the configuration when it is read

Change: the newest document is encoded at its first read, its size is counted only when the sum of changes could exceed the bound, and references are checked only for changes that can break one.

--- a/controld/store/patch.go
+++ b/controld/store/patch.go
@@ -27,8 +27,8 @@
 	if err := s.log.Barrier(ctx); err != nil {
 		return nil, oops.In("store").Wrapf(err, "read the newest state")
 	}
-	s.machine.mu.RLock()
-	defer s.machine.mu.RUnlock()
+	s.machine.mu.Lock() // The machine notes the size that it counts.
+	defer s.machine.mu.Unlock()
 	return s.machine.configuration.Apply(p, s.machine.time), nil
 }
 
--- a/lib/configurator/check.go
+++ b/lib/configurator/check.go
@@ -51,9 +51,30 @@
 	if err != nil || len(faults) > 0 {
 		return append(faults, references(after)...), err
 	}
+	if !affectsReferences(change) {
+		return nil, nil
+	}
 	return references(after), nil
 }
 
+// affectsReferences reports whether a change can break a reference between entries: one of hosts or control hosts,
+// or one that removes a data centre.
+func affectsReferences(change map[string]any) bool {
+	for section, value := range change {
+		switch section {
+		case "hosts", "control":
+			return true
+		case "centers":
+			for _, center := range object(value) {
+				if center == nil {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // checkWhole lists the faults of a whole document.
 func checkWhole(tree map[string]any) (checker.Faults, error) {
 	faults, err := checkSchema(tree)
--- a/lib/configurator/machine.go
+++ b/lib/configurator/machine.go
@@ -27,6 +27,9 @@
 type Machine struct {
 	history history
 	trail   trail
+	// estimate is an upper bound of the document's size in bytes.
+	estimate int
+	largest  int
 }
 
 // Option changes a machine.
@@ -42,23 +45,27 @@
 	return func(m *Machine) { m.trail.keep, m.trail.bytes = n, bytes }
 }
 
+// WithDocument sets the size of the largest document, in bytes.
+func WithDocument(bytes int) Option {
+	return func(m *Machine) { m.largest = bytes }
+}
+
 // New returns a machine whose version 1 is the empty document.
 func New(options ...Option) *Machine {
 	m := &Machine{
-		history: history{keep: DefaultVersions},
-		trail:   trail{keep: DefaultAudits, bytes: DefaultAuditBytes, results: make(map[string]*statev1.Audit)},
+		history:  newHistory(DefaultVersions),
+		estimate: len("{}"), largest: maxDocument,
+		trail: trail{keep: DefaultAudits, bytes: DefaultAuditBytes, results: make(map[string]*statev1.Audit)},
 	}
 	for _, o := range options {
 		o(m)
 	}
-	first := &statev1.Version{Number: 1, Document: []byte("{}"), Difference: []byte("{}")}
-	m.history.add(first, map[string]any{})
 	return m
 }
 
 // Current returns the newest version.
 func (m *Machine) Current() *statev1.Version {
-	return m.history.current
+	return m.history.current()
 }
 
 // Version returns a version by number, if it is still kept.
@@ -99,7 +106,7 @@
 // Difference returns the merge patch between two kept versions; to is the newest version when it is zero.
 func (m *Machine) Difference(from, to uint64) ([]byte, error) {
 	if to == 0 {
-		to = m.Current().GetNumber()
+		to = m.history.newest()
 	}
 	a, ok := m.tree(from)
 	if !ok {
@@ -119,65 +126,82 @@
 
 func (m *Machine) reused(p *statev1.Patch) *statev1.PatchResult {
 	return &statev1.PatchResult{
-		Id: p.GetId(), Verdict: statev1.Verdict_VERDICT_REUSED, Version: m.Current().GetNumber(),
+		Id: p.GetId(), Verdict: statev1.Verdict_VERDICT_REUSED, Version: m.history.newest(),
 		Faults: []string{"the identity belongs to an earlier patch with another content; submit this one under a new identity"},
 	}
 }
 
 // accept appends a version. One patch makes one version, and versions only grow.
 func (m *Machine) accept(v *statev1.Version, tree map[string]any) {
-	if v.GetNumber() != m.Current().GetNumber()+1 {
-		panic(fmt.Sprintf("invariant versions_grow: version %d after %d", v.GetNumber(), m.Current().GetNumber()))
+	if v.GetNumber() != m.history.newest()+1 {
+		panic(fmt.Sprintf("invariant versions_grow: version %d after %d", v.GetNumber(), m.history.newest()))
+	}
+	if err := m.history.add(v, tree); err != nil {
+		panic(fmt.Sprintf("invariant document_encodes: %v", err)) // The tree was decoded from JSON.
 	}
-	m.history.add(v, tree)
 }
 
 func (m *Machine) decide(p *statev1.Patch, now time.Time) (*statev1.PatchResult, *statev1.Version, map[string]any) {
-	current := m.Current()
-	result := &statev1.PatchResult{Id: p.GetId(), Version: current.GetNumber()}
-	if p.GetBase() != current.GetNumber() {
+	current := m.history.newest()
+	result := &statev1.PatchResult{Id: p.GetId(), Version: current}
+	if p.GetBase() != current {
 		result.Verdict = statev1.Verdict_VERDICT_CONFLICT
-		if d, err := m.Difference(p.GetBase(), current.GetNumber()); err == nil {
+		if d, err := m.Difference(p.GetBase(), current); err == nil {
 			result.Difference = d
 		}
 		return result, nil, nil
 	}
-	tree, document, change, err := m.merged(p)
+	tree, change, err := m.merged(p)
 	if err != nil {
 		result.Verdict = statev1.Verdict_VERDICT_INVALID
 		result.Faults = texts(err)
 		return result, nil, nil
 	}
 	result.Verdict = statev1.Verdict_VERDICT_ACCEPTED
-	result.Version = current.GetNumber() + 1
+	result.Version = current + 1
 	result.Difference = change
 	return result, &statev1.Version{
 		Number: result.GetVersion(), Time: timestamppb.New(now), Author: p.GetAuthor(), Reason: p.GetReason(),
-		Patch: p.GetId(), Document: document, Difference: change,
+		Patch: p.GetId(), Difference: change,
 	}, tree
 }
 
-// merged returns the checked document that a patch makes, as a tree and encoded, and the change that it is.
-func (m *Machine) merged(p *statev1.Patch) (tree map[string]any, document, change []byte, err error) {
+// merged returns the checked document that a patch makes and the change that it is.
+func (m *Machine) merged(p *statev1.Patch) (tree map[string]any, change []byte, err error) {
 	if tree, err = m.change(p); err != nil {
-		return nil, nil, nil, err
-	}
-	if document, err = encode(tree); err != nil {
-		return nil, nil, nil, err
-	}
-	if len(document) > maxDocument {
-		return nil, nil, nil, oops.In("configurator").Errorf("the document would have %d bytes; at most %d are permitted", len(document), maxDocument)
+		return nil, nil, err
 	}
 	step := difference(m.history.tree, tree)
 	faults, err := checkChange(m.history.tree, tree, step)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, nil, err
 	}
 	if len(faults) > 0 {
-		return nil, nil, nil, faults
+		return nil, nil, faults
+	}
+	if change, err = encode(step); err != nil {
+		return nil, nil, err
+	}
+	return tree, change, m.measure(tree, change)
+}
+
+// measure refuses a document that is too large. The size is counted only when the sum of the changes since the last
+// count could exceed the bound. The estimate is the same on hosts that restored a snapshot and on those that did
+// not as far as the verdict goes, because the verdict comes from the count alone.
+func (m *Machine) measure(tree map[string]any, change []byte) error {
+	m.estimate += len(change)
+	if m.estimate <= m.largest {
+		return nil
+	}
+	document, err := encode(tree)
+	if err != nil {
+		return err
+	}
+	m.estimate = len(document)
+	if len(document) > m.largest {
+		return oops.In("configurator").Errorf("the document would have %d bytes; at most %d are permitted", len(document), m.largest)
 	}
-	change, err = encode(step)
-	return tree, document, change, err
+	return nil
 }
 
 func (m *Machine) change(p *statev1.Patch) (map[string]any, error) {
@@ -199,17 +223,17 @@
 }
 
 func (m *Machine) tree(number uint64) (map[string]any, bool) {
-	if number == m.Current().GetNumber() {
+	if number == m.history.newest() {
 		return m.history.tree, true
 	}
-	if number < m.Oldest() || number > m.Current().GetNumber() {
+	if number < m.Oldest() || number > m.history.newest() {
 		return nil, false
 	}
 	return m.history.document(number - m.Oldest())
 }
 
 func (m *Machine) notKept(number uint64) error {
-	return oops.In("configurator").Errorf("version %d is not kept; versions %d to %d are", number, m.Oldest(), m.Current().GetNumber())
+	return oops.In("configurator").Errorf("version %d is not kept; versions %d to %d are", number, m.Oldest(), m.history.newest())
 }
 
 // texts returns the lines for the operator; faults beyond maxFaults are counted.
--- a/lib/configurator/snapshot.go
+++ b/lib/configurator/snapshot.go
@@ -23,11 +23,12 @@
 			return oops.In("configurator").Errorf("the snapshot has version %d at place %d after version %d", v.GetNumber(), i, versions[0].GetNumber())
 		}
 	}
-	h := history{keep: m.history.keep, versions: versions}
+	h := newHistory(m.history.keep)
+	h.versions = versions
 	if err := h.load(); err != nil {
 		return err
 	}
-	m.history = h
+	m.history, m.estimate = h, m.largest
 	m.trail = trail{keep: m.trail.keep, bytes: m.trail.bytes, results: make(map[string]*statev1.Audit)}
 	for _, a := range state.GetAudits() {
 		m.trail.add(a)
