--- a/lib/configurator/machine_test.go
+++ b/lib/configurator/machine_test.go
@@ -20,6 +20,30 @@
 	return &statev1.Patch{Id: id, Base: base, Body: []byte(body), Author: "ana", Reason: "test"}
 }
 
+// Guards against two accepted patches on one version, and against a conflict that does not say what changed.
+func TestRacingPatchesOneWins(t *testing.T) {
+	m := configurator.New()
+	first := m.Apply(patch("a", 1, `{"centers":{"gal-1":{"region":"gal"}}}`), start)
+	qt.Assert(t, first.GetVerdict(), qt.Equals, statev1.Verdict_VERDICT_ACCEPTED)
+	second := m.Apply(patch("b", 1, `{"centers":{"gal-2":{"region":"gal"}}}`), start)
+	qt.Assert(t, second.GetVerdict(), qt.Equals, statev1.Verdict_VERDICT_CONFLICT)
+	qt.Assert(t, second.GetVersion(), qt.Equals, uint64(2))
+	qt.Assert(t, string(second.GetDifference()), qt.Equals, `{"centers":{"gal-1":{"region":"gal"}}}`)
+	qt.Assert(t, m.Audits(0, 0), qt.HasLen, 2)
+}
+
+// Guards against a second application of a resent patch and against an identity that covers two contents.
+func TestIdentity(t *testing.T) {
+	m := configurator.New()
+	first := m.Apply(patch("a", 1, `{"centers":{"gal-1":{"region":"gal"}}}`), start)
+	again := m.Apply(patch("a", 1, `{"centers":{"gal-1":{"region":"gal"}}}`), start.Add(time.Hour))
+	qt.Assert(t, proto.Equal(first, again), qt.IsTrue)
+	other := m.Apply(patch("a", 2, `{"centers":{"gal-2":{"region":"gal"}}}`), start)
+	qt.Assert(t, other.GetVerdict(), qt.Equals, statev1.Verdict_VERDICT_REUSED)
+	qt.Assert(t, m.Current().GetNumber(), qt.Equals, uint64(2))
+	qt.Assert(t, proto.Equal(first, m.Apply(patch("a", 1, `{"centers":{"gal-1":{"region":"gal"}}}`), start)), qt.IsTrue)
+}
+
 // Guards against a second application of a patch whose identity the trail no longer holds.
 func TestForgottenIdentityIsNeverAppliedAgain(t *testing.T) {
 	m := configurator.New(configurator.WithAudits(2, 1<<20))
