--- /dev/null
+++ b/lib/planner/example_test.go
@@ -0,0 +1,23 @@
+package planner_test
+
+import (
+	"fmt"
+	"time"
+
+	"lycheelift.example/lib/planner"
+)
+
+// A planner is given events with the time and returns what is to be done; here a fake plays two leaves.
+func Example() {
+	world := newFake(1, 2, 1)
+	query := planner.Query{Identity: "entry-1/1/1", Received: epoch, Deadline: epoch.Add(100 * time.Millisecond)}
+	p := planner.New(query, world)
+	for _, call := range p.Step(planner.Event{Kind: planner.Start}, epoch) {
+		if call.Kind == planner.Send {
+			fmt.Println("send shard", call.Call.Shard, "of snapshot", call.Call.Snapshot)
+		}
+	}
+	// Output:
+	// send shard 0 of snapshot 1
+	// send shard 1 of snapshot 1
+}
--- /dev/null
+++ b/lib/ramper/example_test.go
@@ -0,0 +1,24 @@
+package ramper_test
+
+import (
+	"fmt"
+	"time"
+
+	"lycheelift.example/lib/ramper"
+)
+
+// A leaf that its owner does not know yet gets one call at a time, and more on good replies.
+func Example() {
+	now := time.Date(2026, 1, 2, 0, 0, 0, 0, time.UTC)
+	r := ramper.New(2, now)
+	fmt.Println(r.Allowance())
+	r.Announce(false, now)
+	for range 64 {
+		now = now.Add(100 * time.Millisecond)
+		r.Finish(ramper.Good, time.Millisecond, 1, now)
+	}
+	fmt.Println(r.Allowance())
+	// Output:
+	// 1
+	// 2
+}
