Let backend servers announce to their owner, and send no lease requests as probes

Cause: nine tenths of the calls between hosts forwarded announcements, and empty lease requests probed hosts that the detector probes already. Change: the answer to an announcement names the owner's address; an owner passes an unchanged announcement on once a second only. A server that does not follow the name is forwarded as before. The holder's own probes are gone.

--- a/entryd/announcer/announcer.go
+++ b/entryd/announcer/announcer.go
@@ -23,11 +23,25 @@
 	table   *cataloguer.Table
 	forward Forwarder
 	clock   func() time.Time
+	// redirect returns the address of a leaf's owner.
+	redirect func(leaf string) string
+}
+
+// Option changes an announcer.
+type Option func(*Announcer)
+
+// WithRedirect sets what knows the address of a leaf's owner. Servers that announce to it spare the forwarding.
+func WithRedirect(f func(leaf string) string) Option {
+	return func(a *Announcer) { a.redirect = f }
 }
 
 // New returns an announcer that stores into the table.
-func New(table *cataloguer.Table, forward Forwarder, clock func() time.Time) *Announcer {
-	return &Announcer{table: table, forward: forward, clock: clock}
+func New(table *cataloguer.Table, forward Forwarder, clock func() time.Time, options ...Option) *Announcer {
+	a := &Announcer{table: table, forward: forward, clock: clock, redirect: func(string) string { return "" }}
+	for _, o := range options {
+		o(a)
+	}
+	return a
 }
 
 // Announce stores a backend server's announcement and forwards it.
@@ -41,5 +55,5 @@
 	if a.table.Put(leaf) {
 		a.forward.Forward(context.WithoutCancel(ctx), request)
 	}
-	return &backendv1.AnnounceResponse{Interval: durationpb.New(cataloguer.Interval)}, nil
+	return &backendv1.AnnounceResponse{Interval: durationpb.New(cataloguer.Interval), Owner: a.redirect(leaf.Name)}, nil
 }
--- a/entryd/holder/holder.go
+++ b/entryd/holder/holder.go
@@ -44,6 +44,12 @@
 	Dead(host string) bool
 }
 
+// nobody holds no host dead.
+type nobody struct{}
+
+// Dead is always false.
+func (nobody) Dead(string) bool { return false }
+
 // Holder is safe for concurrent use.
 type Holder struct {
 	self        string
@@ -52,7 +58,6 @@
 	table       *cataloguer.Table
 	follow      *follower.Follower
 	clock       func() time.Time
-	probes      *Probes
 	live        Liveness
 	active      func(leaf string) int
 	changed     func(leaf string)
@@ -66,8 +71,7 @@
 	cell    ranker.Cell
 	cells   []ranker.Cell
 	// mine says of each leaf of the data centre whether it belongs to this host's cell.
-	mine     map[string]bool
-	contacts map[string]time.Time
+	mine map[string]bool
 
 	// leases holds a *leaser.Lease by leaf, for readers that must not wait for the lock.
 	leases sync.Map
@@ -84,7 +88,7 @@
 // Option changes a holder.
 type Option func(*Holder)
 
-// WithLiveness sets what says which hosts are dead; the default judges by the holder's own requests.
+// WithLiveness sets what says which hosts are dead; without it no host is, and a dead host's leaves stay with it.
 func WithLiveness(l Liveness) Option {
 	return func(h *Holder) { h.live = l }
 }
@@ -105,11 +109,10 @@
 	incarnation := uint64(max(now.UnixNano(), 0))
 	h := &Holder{
 		self: self, incarnation: incarnation, dial: dial, table: table, follow: follow, clock: clock,
-		probes: NewProbes(clock), active: func(string) int { return 0 }, changed: func(string) {},
-		wake: make(chan struct{}, 1), contacts: make(map[string]time.Time),
+		live: nobody{}, active: func(string) int { return 0 }, changed: func(string) {},
+		wake:  make(chan struct{}, 1),
 		state: leaser.NewHolder(self, incarnation, incarnation), granter: leaser.NewGranter(now),
 	}
-	h.live = h.probes
 	for _, o := range options {
 		o(h)
 	}
@@ -138,7 +141,6 @@
 	h.followLeaves(now)
 	messages := h.state.Tick(now, h.live.Dead)
 	messages = append(messages, h.yielded(now)...)
-	messages = append(messages, h.greet(messages, now)...)
 	h.publish(now)
 	h.mu.Unlock()
 	h.deliver(ctx, messages)
@@ -209,22 +211,6 @@
 	return out
 }
 
-// greet sends an empty request to hosts of the cell that get no other, so that their death is noticed.
-func (h *Holder) greet(messages []leaser.Message, now time.Time) []leaser.Message {
-	for _, m := range messages {
-		h.contacts[m.To] = now
-	}
-	var out []leaser.Message
-	for _, host := range h.cell.Hosts {
-		if host == h.self || now.Sub(h.contacts[host]) < leaser.Renew {
-			continue
-		}
-		h.contacts[host] = now
-		out = append(out, leaser.Message{To: host, Sent: now, Request: leaser.Request{Host: h.self, Incarnation: h.incarnation}})
-	}
-	return out
-}
-
 // publish makes the leases visible to readers without a lock.
 func (h *Holder) publish(now time.Time) {
 	held := h.state.Held(now)
@@ -281,7 +267,6 @@
 	}
 	conn, err := h.dial.Dial(host)
 	if err != nil {
-		h.probes.Failed(host)
 		return
 	}
 	request := h.encode(m.Request)
@@ -291,10 +276,8 @@
 	h.sentBytes.Add(uint64(max(sizeOf(request), 0)))
 	response, err := peerv1.NewPeerServiceClient(conn).Lease(ctx, request)
 	if err != nil {
-		h.probes.Failed(host)
 		return
 	}
-	h.probes.Heard(host)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock()
@@ -307,7 +290,6 @@
 	if err := check(in); err != nil {
 		return nil, err
 	}
-	h.probes.Heard(in.GetHost())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.clock()
--- a/entryd/peerer/forward.go
+++ b/entryd/peerer/forward.go
@@ -5,6 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
 	"lycheelift.example/lib/ranker"
 	backendv1 "lycheelift.example/schema/gen/lycheelift/backend/v1"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
@@ -18,6 +21,11 @@
 	forwardCopies = 2
 	// avoidTime is the time for which a host that did not answer is asked last.
 	avoidTime = 2 * time.Second
+	// copyInterval is the least time between two copies of an unchanged announcement from the leaf's owner. Two of
+	// them fit into one announcement lease of 2 s.
+	copyInterval = 900 * time.Millisecond
+	// maxCopied bounds the leaves remembered; an owner at the design size has about 6.
+	maxCopied = 4096
 )
 
 // Forwarder passes announcements to the hosts of the leaf's cell.
@@ -27,13 +35,20 @@
 	owner func(leaf string) (string, bool)
 	clock func() time.Time
 
-	mu    sync.Mutex
-	avoid map[string]time.Time
+	mu     sync.Mutex
+	avoid  map[string]time.Time
+	copied map[string]copied
+}
+
+// copied is what was last passed on of a leaf that this host looks after.
+type copied struct {
+	at        time.Time
+	signature uint64
 }
 
 // NewForwarder returns a forwarder; owner returns the published owner of a leaf.
 func NewForwarder(self string, dial *Dialer, owner func(string) (string, bool), clock func() time.Time) *Forwarder {
-	return &Forwarder{self: self, dial: dial, owner: owner, clock: clock, avoid: make(map[string]time.Time)}
+	return &Forwarder{self: self, dial: dial, owner: owner, clock: clock, avoid: make(map[string]time.Time), copied: make(map[string]copied)}
 }
 
 // Forward passes an announcement to the published owner and to the first hosts in rendezvous order that answer.
@@ -42,6 +57,9 @@
 	if !ok {
 		return
 	}
+	if f.spare(a) {
+		return
+	}
 	order := f.order(ranker.Order(a.GetLeaf(), cell.Hosts))
 	go func() {
 		done := map[string]bool{f.self: true}
@@ -60,6 +78,35 @@
 	}()
 }
 
+// spare reports whether a copy would say nothing new: this host owns the leaf and has passed the same on a short time ago.
+func (f *Forwarder) spare(a *backendv1.AnnounceRequest) bool {
+	if owner, ok := f.owner(a.GetLeaf()); !ok || owner != f.self {
+		return false
+	}
+	now, signature := f.clock(), sign(a)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if last, ok := f.copied[a.GetLeaf()]; ok && last.signature == signature && now.Sub(last.at) < copyInterval {
+		return true
+	}
+	if len(f.copied) >= maxCopied {
+		clear(f.copied)
+	}
+	f.copied[a.GetLeaf()] = copied{at: now, signature: signature}
+	return false
+}
+
+// sign returns a hash of what matters in an announcement: all but its sequence and load.
+func sign(a *backendv1.AnnounceRequest) uint64 {
+	same := proto.CloneOf(a)
+	same.Sequence, same.Load = 0, 0
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(same)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
+
 // order puts hosts that did not answer a short time ago last.
 func (f *Forwarder) order(hosts []string) []string {
 	f.mu.Lock()
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -101,7 +101,7 @@
 		acceptor.WithBody(s.Body), acceptor.WithTimeout(timeout), acceptor.WithQueries(s.Queries),
 		acceptor.WithOwners(owners{out.hold}), acceptor.WithSubmitter(out.submit), acceptor.WithRecorder(buffer), acceptor.WithIsolator(isolate), acceptor.WithTraces(s.Traces),
 		acceptor.WithScope(out.export.Scope.SubScope("query")))
-	announce := announcer.New(table, peerer.NewForwarder(s.Name, out.dial, table.Owner, clock), clock)
+	announce := announcer.New(table, peerer.NewForwarder(s.Name, out.dial, table.Owner, clock), clock, announcer.WithRedirect(out.sync.Redirect))
 	allowed := connect.WithInterceptors(authorizer.Interceptor(access), tenancy(), out.gate.intercept())
 	mux := http.NewServeMux()
 	mux.Handle(callerv1connect.NewQueryServiceHandler(accept, allowed, connect.WithReadMaxBytes(s.Body+maxEnvelope)))
@@ -133,6 +133,7 @@
 		holder.WithLiveness(liveness{self: name, probe: s.probe, follow: s.follow}))
 	s.execute.Bind(s.hold)
 	s.sync = syncer.New(name, center, incarnation, s.table, s.follow, s.dial, leases{s.hold}, s.probe.Serves, s.clock)
+	s.sync.SetCallers(s.settings.Listen.Callers)
 	s.probe.Connect(s.sync)
 	s.follow.OnChange(s.probe.Reconfigure)
 	s.follow.OnChange(s.sync.Reconfigure)
--- a/entryd/syncer/syncer.go
+++ b/entryd/syncer/syncer.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -87,6 +88,28 @@
 	}
 }
 
+// SetCallers sets the address at which this host takes announcements. An address that is not specific says nothing.
+func (s *Syncer) SetCallers(address string) {
+	at, err := netip.ParseAddrPort(address)
+	if err != nil || at.Addr().IsUnspecified() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.SetCallers(address)
+}
+
+// Redirect returns the address at which the published owner of a leaf takes announcements, or nothing.
+func (s *Syncer) Redirect(leaf string) string {
+	host, ok := s.table.Owner(leaf)
+	if !ok {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Callers(host)
+}
+
 // Reconfigure takes the cells from a view.
 func (s *Syncer) Reconfigure(v *follower.View) {
 	s.mu.Lock()
--- a/leafd/leaf/announce.go
+++ b/leafd/leaf/announce.go
@@ -18,17 +18,10 @@
 
 // Announce tells entry hosts about the server until ctx ends; a failed announcement goes to the next host at once.
 func (l *Leaf) Announce(ctx context.Context) {
-	for next := l.offset(); ; next++ {
+	for next := l.offset(); ; {
 		wait := cmp.Or(l.config.Announce, announceInterval)
-		if l.muted() {
-			next--
-		} else {
-			for range l.config.Entries {
-				if l.announce(ctx, l.config.Entries[next%len(l.config.Entries)]) {
-					break
-				}
-				next++
-			}
+		if !l.muted() {
+			next = l.tell(ctx, next)
 		}
 		select {
 		case <-ctx.Done():
@@ -38,6 +31,27 @@
 	}
 }
 
+// tell announces to the owner that an entry host has named, or else to the next host that answers. It returns the
+// number of the host after that one.
+func (l *Leaf) tell(ctx context.Context, next int) int {
+	if l.owner != "" {
+		var ok bool
+		if l.owner, ok = l.announce(ctx, l.owner); ok {
+			return next
+		}
+		l.owner = ""
+	}
+	for range l.config.Entries {
+		owner, ok := l.announce(ctx, l.config.Entries[next%len(l.config.Entries)])
+		next++
+		if ok {
+			l.owner = owner
+			break
+		}
+	}
+	return next
+}
+
 func (l *Leaf) offset() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -50,11 +64,12 @@
 	return l.behave.Mute
 }
 
-func (l *Leaf) announce(ctx context.Context, entry string) bool {
+// announce tells one host and returns the owner that it names.
+func (l *Leaf) announce(ctx context.Context, entry string) (owner string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
-	_, err := backendv1connect.NewAnnounceServiceClient(l.client, l.secure.URL(entry)).Announce(ctx, l.announcement())
-	return err == nil
+	out, err := backendv1connect.NewAnnounceServiceClient(l.client, l.secure.URL(entry)).Announce(ctx, l.announcement())
+	return out.GetOwner(), err == nil
 }
 
 func (l *Leaf) announcement() *backendv1.AnnounceRequest {
--- a/leafd/leaf/leaf.go
+++ b/leafd/leaf/leaf.go
@@ -101,6 +101,8 @@
 	config Config
 	client *http.Client
 	secure *transporter.Security
+	// owner is the address that an entry host has named; only the announcing goroutine uses it.
+	owner string
 
 	mu          sync.Mutex
 	behave      Behaviour
--- a/lib/disseminator/book.go
+++ b/lib/disseminator/book.go
@@ -93,6 +93,21 @@
 // Own returns this host's record.
 func (b *Book) Own() *peerv1.Catalogue { return b.own }
 
+// SetCallers sets the address at which this host takes announcements.
+func (b *Book) SetCallers(address string) {
+	b.own = proto.CloneOf(b.own)
+	b.own.Callers = address
+	b.put(b.own)
+}
+
+// Callers returns the address at which a host takes announcements, or nothing when it is not known.
+func (b *Book) Callers(host string) string {
+	if r, ok := b.records[host]; ok {
+		return r.message.GetCallers()
+	}
+	return ""
+}
+
 // Publish replaces this host's leaves. The sequence grows, and Publish reports true, only when something other than
 // an announcement's own sequence and load changed.
 func (b *Book) Publish(leaves []*peerv1.Leaf) bool {
@@ -103,7 +118,7 @@
 	slices.SortFunc(leaves, func(a, c *peerv1.Leaf) int {
 		return strings.Compare(a.GetAnnouncement().GetLeaf(), c.GetAnnouncement().GetLeaf())
 	})
-	next := &peerv1.Catalogue{Host: b.self, Incarnation: b.own.GetIncarnation(), Sequence: b.own.GetSequence(), Leaves: leaves}
+	next := &peerv1.Catalogue{Host: b.self, Incarnation: b.own.GetIncarnation(), Sequence: b.own.GetSequence(), Leaves: leaves, Callers: b.own.GetCallers()}
 	if proto.Equal(next, b.own) {
 		return false
 	}
