--- a/Makefile
+++ b/Makefile
@@ -51,11 +51,12 @@
 vet:
 	go vet $(PACKAGES)
 
+# Process tests build daemons that the test cache does not know of, so results are never taken from it.
 test:
-	go test $(PACKAGES)
+	go test -count=1 $(PACKAGES)
 
 race:
-	go test -race $(PACKAGES)
+	go test -count=1 -race $(PACKAGES)
 
 demo: build
 	./out/demo
