Use the view's lookup of a host's cell for liveness

Cause: owners.go searched the cells itself and had its own copy of slices.Contains; follower.View.Cell does the same. Change: it calls View.Cell. Behaviour is unchanged. Result: entryd/server tests pass without the cache; the linter finds nothing.

--- a/entryd/server/owners.go
+++ b/entryd/server/owners.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"slices"
 	"time"
 
 	"lycheelift.example/entryd/follower"
@@ -41,19 +42,6 @@
 
 // Dead reports whether a host of the own cell is dead or has left.
 func (l liveness) Dead(host string) bool {
-	for _, cell := range l.follow.View().Cells {
-		if contains(cell.Hosts, l.self) {
-			return contains(cell.Hosts, host) && !l.probe.Live(host)
-		}
-	}
-	return false
-}
-
-func contains(hosts []string, host string) bool {
-	for _, h := range hosts {
-		if h == host {
-			return true
-		}
-	}
-	return false
+	cell, ok := l.follow.View().Cell(l.self)
+	return ok && slices.Contains(cell.Hosts, host) && !l.probe.Live(host)
 }
