--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(GOBIN)/buf generate
 	$(GOBIN)/buf generate --template buf.gen.connect.yaml --path schema/proto/lycheelift/caller --path schema/proto/lycheelift/backend --path schema/proto/lycheelift/operator
 	$(GOBIN)/buf generate --template buf.gen.grpc.yaml --path schema/proto/lycheelift/peer
-	for s in entryd controld configuration; do \
+	for s in entryd controld configuration fleetd; do \
 	  mkdir -p schema/gen/settings/$$s && \
 	  $(GOBIN)/go-jsonschema --struct-name-from-title -p $$s --tags json -o schema/gen/settings/$$s/$$s.go schema/settings/$$s.schema.json || exit 1; done
 
--- a/controld/replica/dialer.go
+++ b/controld/replica/dialer.go
@@ -15,7 +15,7 @@
 
 const (
 	// messageTimeout bounds one message between replicas. It is longer than a sync on a slow disk.
-	messageTimeout = 2 * time.Second
+	messageTimeout = time.Second
 	// connectTimeout bounds the wait for a connection on which to forward a command.
 	connectTimeout = 200 * time.Millisecond
 	// inTransit bounds the messages to one host that are not answered yet; more are dropped, as a network may.
@@ -31,7 +31,8 @@
 var redial = backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond}
 
 type line struct {
-	conn *grpc.ClientConn
+	address string
+	conn    *grpc.ClientConn
 	slot chan struct{}
 }
 
@@ -61,11 +62,22 @@
 	if err != nil {
 		return nil, oops.In("replica").Wrapf(err, "connect to %s", address)
 	}
-	l := &line{conn: conn, slot: make(chan struct{}, inTransit)}
+	l := &line{address: address, conn: conn, slot: make(chan struct{}, inTransit)}
 	d.lines[address] = l
 	return l, nil
 }
 
+// drop closes a connection on which a message was not answered in time. The network may have forgotten it in silence,
+// and the probes of gRPC would take ten seconds to notice; a new connection costs little.
+func (d *dialer) drop(l *line) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lines[l.address] == l {
+		delete(d.lines, l.address)
+		_ = l.conn.Close()
+	}
+}
+
 // connected waits a short time for the connection. A call on one that is not connected would fail in a way
 // that does not tell whether it was sent.
 func (l *line) connected(ctx context.Context) bool {
--- a/controld/replica/found.go
+++ b/controld/replica/found.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"lycheelift.example/lib/eventer"
@@ -18,8 +17,8 @@
 	awaitedAfter = 25
 )
 
-// found begins a new group. Only the first of the configured members does so, and only when every one of them
-// has answered that its data folder is blank. A host that lost its disk therefore founds nothing while any other
+// found begins a new group. Only the first of the configured members that may found does so, and only when every one
+// of them has answered that its data folder is blank. A host that lost its disk therefore founds nothing while any other
 // member still has its log, or cannot be asked.
 func (r *Replica) found(ctx context.Context) {
 	ticker := time.NewTicker(foundInterval)
@@ -52,28 +51,27 @@
 
 // unanimous returns the first members with their incarnations when this host is to found the group and all are blank.
 func (r *Replica) unanimous(ctx context.Context) *statev1.Members {
-	first := slices.MinFunc(r.config.Members, func(a, b Peer) int { return strings.Compare(a.Host, b.Host) })
-	if r.config.Join || first.Host != r.config.Host {
+	if r.config.Join || !slices.ContainsFunc(r.config.Members, func(p Peer) bool { return p.Host == r.config.Host }) {
 		return nil
 	}
 	out := &statev1.Members{}
 	for _, p := range r.config.Members {
-		incarnation := r.Status().Incarnation
+		incarnation, center := r.Status().Incarnation, r.config.Center
 		if p.Host != r.config.Host {
-			report := r.query(ctx, p)
-			if !report.GetBlank() || report.GetHost() != p.Host {
+			report := r.query(ctx, p.Address)
+			if !report.GetBlank() || report.GetHost() != p.Host || report.GetFounding() && p.Host < r.config.Host {
 				return nil
 			}
-			incarnation = report.GetIncarnation()
+			incarnation, center = report.GetIncarnation(), report.GetCenter()
 		}
-		out.Replicas = append(out.Replicas, &statev1.Replica{Host: p.Host, Address: p.Address, Incarnation: incarnation})
+		out.Replicas = append(out.Replicas, &statev1.Replica{Host: p.Host, Address: p.Address, Incarnation: incarnation, Center: center})
 	}
 	return out
 }
 
 // query returns nil when the host does not answer.
-func (r *Replica) query(ctx context.Context, p Peer) *peerv1.ReportResponse {
-	l, err := r.dialer.dial(p.Address)
+func (r *Replica) query(ctx context.Context, address string) *peerv1.ReportResponse {
+	l, err := r.dialer.dial(address)
 	if err != nil {
 		return nil
 	}
--- a/controld/replica/propose.go
+++ b/controld/replica/propose.go
@@ -207,7 +207,7 @@
 	}
 	var err error
 	if c.add != nil {
-		err = r.core.Add(r.config.Clock(), c.add.GetHost(), c.add.GetAddress())
+		err = r.core.Add(r.config.Clock(), c.add.GetHost(), c.add.GetAddress(), c.add.GetCenter())
 	} else {
 		err = r.core.Remove(r.config.Clock(), c.remove)
 	}
--- a/controld/replica/replica.go
+++ b/controld/replica/replica.go
@@ -38,10 +38,20 @@
 // Config holds the settings of a replica.
 type Config struct {
 	Host string
+	// Address is that of this host's replica, for hosts that seek the group themselves.
+	Address string
 	// Members are the first members, this host among them unless it joins an existing group.
 	Members []Peer
 	// Join keeps the host from founding a group.
 	Join bool
+	// Center is the host's data centre, told to the other control hosts.
+	Center string
+	// Seek returns addresses of control hosts that can add this host to the group. Without it an operator adds the host.
+	Seek func() []string
+	// Voters, Absence and Least are those of the replicator.
+	Voters  int
+	Absence time.Duration
+	Least   int
 	// Election is the least time without a leader before an election.
 	Election time.Duration
 	// Heartbeat is the time between two messages of the leader.
@@ -81,6 +91,8 @@
 	queueLength = 1024
 	// ticks is the number of ticks in a heartbeat.
 	ticks = 2
+	// reopenInterval is the time between two attempts to write the log again after a failure.
+	reopenInterval = 500 * time.Millisecond
 	// keepShare is the part of the compaction interval that is kept behind a snapshot for slow followers.
 	keepShare = 4
 )
@@ -109,6 +121,7 @@
 	tickets  map[uint64]chan replicator.Message
 	ticket   uint64
 	failed   error
+	failedAt time.Time
 	leading  bool
 }
 
@@ -129,10 +142,27 @@
 	return r, nil
 }
 
+// load opens the log and restores the machine.
 func (r *Replica) load() error {
+	content, err := r.open()
+	if err != nil {
+		return err
+	}
+	if s := content.Snapshot; s != nil {
+		if err := r.machine.Restore(s.GetState()); err != nil {
+			return oops.In("replica").Wrapf(err, "restore the snapshot")
+		}
+		r.applied = s.GetIndex()
+	}
+	r.publish()
+	return nil
+}
+
+// open reads the files and makes the replicator that continues from them.
+func (r *Replica) open() (*journaler.Content, error) {
 	journal, content, err := journaler.Open(r.folder)
 	if err != nil {
-		return oops.In("replica").Wrapf(err, "open the log")
+		return nil, oops.In("replica").Wrapf(err, "open the log")
 	}
 	r.journal = journal
 	now := r.config.Clock()
@@ -141,27 +171,33 @@
 	}
 	if content.State.GetIncarnation() == 0 {
 		if content.Snapshot != nil || len(content.Records) > 0 {
-			return oops.In("replica").Errorf("the data folder has a log but no hard state; remove the whole folder to start as a new member")
+			return nil, oops.In("replica").Errorf("the data folder has a log but no hard state; remove the whole folder to start as a new member")
 		}
 		content.State.Incarnation = uint64(now.UnixNano())
 		if err := journal.SaveState(content.State); err != nil {
-			return oops.In("replica").Wrapf(err, "store the incarnation")
-		}
-	}
-	if s := content.Snapshot; s != nil {
-		if err := r.machine.Restore(s.GetState()); err != nil {
-			return oops.In("replica").Wrapf(err, "restore the snapshot")
+			return nil, oops.In("replica").Wrapf(err, "store the incarnation")
 		}
-		r.applied, r.compact = s.GetIndex(), s.GetIndex()
 	}
+	r.compact = content.Snapshot.GetIndex()
 	r.core = replicator.New(replicator.Config{
 		Host: r.config.Host, Election: r.config.Election, Heartbeat: r.config.Heartbeat, Keep: r.config.Compact / keepShare,
-		Seed: r.config.Seed, Violation: r.violated,
+		Seed: r.config.Seed, Violation: r.violated, Voters: r.config.Voters, Absence: r.config.Absence, Least: r.config.Least,
 	}, replicator.Durable{State: content.State, Snapshot: content.Snapshot, Records: content.Records}, now)
-	r.publish()
 	eventer.LogOpened.Log(now, "incarnation", content.State.GetIncarnation(), "term", content.State.GetTerm(),
 		"snapshot", content.Snapshot.GetIndex(), "records", len(content.Records))
-	return nil
+	return content, nil
+}
+
+// reopen continues from the files after a failed write, as a restart would, when the disk takes writes again. The
+// machine keeps its state: it holds committed commands only, which the leader sends again if the files lack them.
+func (r *Replica) reopen() {
+	_ = r.journal.Close() // The failure that counts has been reported.
+	if _, err := r.open(); err != nil {
+		eventer.LogUnopened.Log(r.config.Clock(), "error", err.Error())
+		return
+	}
+	r.failed = nil
+	r.publish()
 }
 
 func (r *Replica) violated(text string) {
@@ -171,6 +207,9 @@
 // Run drives the log until ctx ends, then closes the files.
 func (r *Replica) Run(ctx context.Context) error {
 	go r.found(ctx)
+	if r.config.Seek != nil {
+		go r.seek(ctx)
+	}
 	ticker := time.NewTicker(r.config.Heartbeat / ticks)
 	defer ticker.Stop()
 	for {
@@ -181,14 +220,23 @@
 			f()
 			r.drain()
 		case <-ticker.C:
-			if r.failed == nil {
-				r.core.Tick(r.config.Clock())
-			}
+			r.tick(r.config.Clock())
 		}
 		r.flush()
 	}
 }
 
+func (r *Replica) tick(now time.Time) {
+	if r.failed == nil {
+		r.core.Tick(now)
+		return
+	}
+	if now.Sub(r.failedAt) >= reopenInterval {
+		r.failedAt = now
+		r.reopen()
+	}
+}
+
 // drain takes the events that wait already, so that one sync serves them all.
 func (r *Replica) drain() {
 	for range queueLength {
@@ -285,6 +333,9 @@
 
 // apply gives a committed record to the machine and its result to whoever waits for it.
 func (r *Replica) apply(record *statev1.Record) {
+	if record.GetIndex() <= r.applied {
+		return // The log was reopened; the machine has this record.
+	}
 	if record.GetIndex() != r.applied+1 {
 		r.violated(fmt.Sprintf("record %d is applied after %d", record.GetIndex(), r.applied))
 		return
@@ -334,7 +385,7 @@
 
 // fail stops all acknowledgement: what is on the disk is no longer known.
 func (r *Replica) fail(err error) {
-	r.failed = err
+	r.failed, r.failedAt = err, r.config.Clock()
 	eventer.LogFailed.Log(r.config.Clock(), "error", err.Error())
 	r.abandon(fmt.Errorf("%w: %w", ErrFailed, err))
 	r.publish()
--- a/controld/replica/service.go
+++ b/controld/replica/service.go
@@ -164,7 +164,7 @@
 	s := r.core.Status()
 	out := &peerv1.ReportResponse{
 		Host: r.config.Host, Incarnation: s.Incarnation, Leader: s.Leader, Term: s.Term, Commit: s.Commit, Applied: r.applied,
-		Last: s.Last, Members: s.Members, Blank: r.core.Blank(),
+		Last: s.Last, Members: s.Members, Blank: r.core.Blank(), Founding: !r.config.Join, Center: r.config.Center,
 	}
 	if r.failed != nil {
 		out.Failure = r.failed.Error()
--- a/controld/replica/status.go
+++ b/controld/replica/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"lycheelift.example/lib/replicator"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
@@ -19,6 +20,8 @@
 	Applied uint64
 	Last    uint64
 	Members *statev1.Members
+	// Heard is when a leader was last heard, by the clock of this host; on the leader, when it last knew of a majority.
+	Heard time.Time
 	// Failure is why the host no longer acknowledges anything, or nil.
 	Failure error
 }
@@ -32,7 +35,7 @@
 	s := r.core.Status()
 	r.status.Store(&Status{
 		Host: r.config.Host, Incarnation: s.Incarnation, Leader: s.Leader, Leading: s.Role == replicator.Leader && r.failed == nil,
-		Term: s.Term, Commit: s.Commit, Applied: r.applied, Last: s.Last, Members: s.Members, Failure: r.failed,
+		Term: s.Term, Commit: s.Commit, Applied: r.applied, Last: s.Last, Members: s.Members, Heard: s.Heard, Failure: r.failed,
 	})
 }
 
--- a/controld/replica/transport.go
+++ b/controld/replica/transport.go
@@ -67,6 +67,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), messageTimeout)
 	defer cancel()
 	out, err := call(ctx, peerv1.NewReplicaServiceClient(l.conn), m)
+	if status.Code(err) == codes.DeadlineExceeded {
+		r.dialer.drop(l)
+	}
 	if err != nil || out.Kind == 0 {
 		return
 	}
--- /dev/null
+++ b/controld/store/depart.go
@@ -0,0 +1,60 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"lycheelift.example/lib/eventer"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+func (m *Machine) depart(d *statev1.Departure, now time.Time) *statev1.Result {
+	m.departures.Apply(d.GetLeaf(), d.GetBorn(), now)
+	m.signal()
+	return &statev1.Result{Kind: &statev1.Result_Departure{Departure: &statev1.DepartureResult{}}}
+}
+
+// Depart notes that an incarnation of a leaf leaves.
+func (s *Store) Depart(ctx context.Context, d *statev1.Departure) error {
+	if s.Departed(d.GetLeaf(), d.GetBorn()) {
+		return nil
+	}
+	if _, err := s.propose(ctx, &statev1.Command{Kind: &statev1.Command_Departure{Departure: d}}); err != nil {
+		eventer.DepartureUndecided.Log(s.clock(), "leaf", d.GetLeaf(), "born", d.GetBorn(), "error", err.Error())
+		return err
+	}
+	eventer.DepartureDecided.Log(s.clock(), "leaf", d.GetLeaf(), "born", d.GetBorn())
+	return nil
+}
+
+// Departed reports whether the local state knows that an incarnation of a leaf leaves.
+func (s *Store) Departed(leaf string, born uint64) bool {
+	s.machine.mu.RLock()
+	defer s.machine.mu.RUnlock()
+	return s.machine.departures.Departed(leaf, born)
+}
+
+// View is a copy of the state that entry hosts follow, as the local state has it.
+type View struct {
+	// Index is the newest record of the log that is included.
+	Index     uint64
+	Document  *statev1.Document
+	Evacuated []string
+	// Departures holds the newest departed incarnation of each leaf.
+	Departures map[string]uint64
+	// Changed is closed at the next change.
+	Changed <-chan struct{}
+}
+
+// View returns the local state. It works without a majority.
+func (s *Store) View() View {
+	s.machine.mu.RLock()
+	defer s.machine.mu.RUnlock()
+	m := s.machine
+	out := View{
+		Index: m.index, Document: m.documents.Current(), Evacuated: m.centers(),
+		Departures: make(map[string]uint64), Changed: m.changed,
+	}
+	m.departures.Each(func(leaf string, born uint64) { out.Departures[leaf] = born })
+	return out
+}
--- a/controld/store/machine.go
+++ b/controld/store/machine.go
@@ -1,4 +1,5 @@
-// Package store is the replicated state of control: the configuration and the at-most-once ledger.
+// Package store is the replicated state of control: the configuration, as patched versions or as whole documents, the
+// at-most-once ledger, evacuated data centres and departed leaves.
 package store
 
 import (
@@ -10,6 +11,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"lycheelift.example/lib/configurator"
+	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/registrar"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
@@ -20,8 +22,14 @@
 	mu            sync.RWMutex
 	configuration *configurator.Machine
 	ledger        *registrar.Ledger
+	documents     *configurator.Documents
+	evacuated     map[string]bool
+	departures    *enroller.Departures
 	members       *statev1.Members
 	time          time.Time
+	index         uint64
+	// changed is closed when documents, evacuations or departures have changed.
+	changed chan struct{}
 }
 
 // MachineOption changes a machine.
@@ -39,7 +47,10 @@
 
 // NewMachine returns a machine with an empty configuration and an empty ledger.
 func NewMachine(options ...MachineOption) *Machine {
-	m := &Machine{configuration: configurator.New(), ledger: registrar.New()}
+	m := &Machine{
+		configuration: configurator.New(), ledger: registrar.New(), documents: configurator.NewDocuments(),
+		evacuated: make(map[string]bool), departures: enroller.NewDepartures(), changed: make(chan struct{}),
+	}
 	for _, o := range options {
 		o(m)
 	}
@@ -48,9 +59,10 @@
 
 // Apply decides one command of the log. It is a function of the state and the command alone: the only time it
 // knows is the one that the leader stamped on the command.
-func (m *Machine) Apply(_ uint64, command *statev1.Command) *statev1.Result {
+func (m *Machine) Apply(index uint64, command *statev1.Command) *statev1.Result {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.index = index
 	now := m.advance(command)
 	switch kind := command.GetKind().(type) {
 	case *statev1.Command_Patch:
@@ -62,6 +74,12 @@
 	case *statev1.Command_Members:
 		m.members = kind.Members
 		return &statev1.Result{Kind: &statev1.Result_Members{Members: m.members}}
+	case *statev1.Command_Document:
+		return m.document(kind.Document, now)
+	case *statev1.Command_Evacuation:
+		return m.evacuate(kind.Evacuation, now)
+	case *statev1.Command_Departure:
+		return m.depart(kind.Departure, now)
 	case nil:
 		return &statev1.Result{}
 	default:
@@ -106,6 +124,9 @@
 		state.Time = timestamppb.New(m.time)
 	}
 	m.configuration.Save(state)
+	m.documents.Save(state)
+	m.saveEvacuated(state)
+	m.departures.Save(state)
 	return state, m.ledger.Freeze()
 }
 
@@ -123,6 +144,10 @@
 	if err := m.ledger.Load(state); err != nil {
 		return oops.In("store").Wrapf(err, "restore the ledger")
 	}
+	m.documents.Load(state)
+	m.loadEvacuated(state)
+	m.departures.Load(state)
+	m.signal()
 	m.members = state.GetMembers()
 	m.time = time.Time{}
 	if t := state.GetTime(); t != nil {
--- a/entryd/acceptor/world.go
+++ b/entryd/acceptor/world.go
@@ -71,11 +71,11 @@
 }
 
 // Hedge pays for a hedge.
-func (w *world) Hedge() bool {
+func (w *world) Hedge(uint32) bool {
 	return w.accept.budget.Spend(w.ask.service, budgeter.Hedge)
 }
 
 // Retry pays for a retry.
-func (w *world) Retry() bool {
+func (w *world) Retry(uint32) bool {
 	return w.accept.budget.Spend(w.ask.service, budgeter.Retry)
 }
--- /dev/null
+++ b/fleetd/answerer/answerer.go
@@ -0,0 +1,129 @@
+// Package answerer answers callers' requests: it finds the route, runs the planner of the request and gives the one
+// reply.
+package answerer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+
+	"lycheelift.example/fleetd/follower"
+	"lycheelift.example/lib/budgeter"
+	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/estimator"
+	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/selector"
+)
+
+// Caller makes calls to leaves.
+type Caller interface {
+	Do(ctx context.Context, c *carrier.Call) (*carrier.Answer, error)
+}
+
+// Viewer knows the configuration in force and the leaves.
+type Viewer interface {
+	View() *follower.View
+}
+
+const (
+	// percentile is the part of a route's calls that is not hedged, in thousandths. A leaf pauses for 4% of the time,
+	// so that hedges above the 93rd reach all pauses.
+	percentile = 930
+	// estimateWindow and estimateRefresh are numbers of calls: at 100 calls a second a host follows a change of
+	// latency within seconds.
+	estimateWindow  = 1024
+	estimateRefresh = 32
+	// retryWait is the wait that a refused caller is told.
+	retryWait = 100 * time.Millisecond
+)
+
+// Answerer answers requests on one entry host. It is safe for concurrent use.
+type Answerer struct {
+	host   string
+	center string
+	viewer Viewer
+	caller Caller
+	clock  func() time.Time
+	bounds Bounds
+
+	sequence atomic.Uint64
+	selector *selector.Table
+	estimate *estimator.Estimator
+	budget   *budgeter.Window
+	random   func() float64
+	metrics  *metrics
+}
+
+// Bounds are limits that hold over all entry hosts together.
+type Bounds struct {
+	// Ratio is the number of extra calls of a service for each request, and Slack the number without requests, in
+	// any Window.
+	Ratio  float64
+	Slack  int
+	Window time.Duration
+	// Cold and ColdSlack bound the requests in a second for a cold leaf: its stated rate times Cold, plus ColdSlack.
+	Cold      float64
+	ColdSlack int
+}
+
+// Option changes an answerer.
+type Option func(*Answerer)
+
+// WithScope sets where metrics are counted.
+func WithScope(s tally.Scope) Option {
+	return func(a *Answerer) { a.metrics = newMetrics(s) }
+}
+
+// WithRandom sets the source of random numbers from 0 up to 1.
+func WithRandom(random func() float64) Option {
+	return func(a *Answerer) { a.random = random }
+}
+
+// budgetShare keeps the extra calls below the bound, which other hosts' clocks and counts may differ from.
+const budgetShare = 0.9
+
+// New returns the answerer of a host.
+func New(host, center string, viewer Viewer, caller Caller, bounds Bounds, clock func() time.Time, options ...Option) *Answerer {
+	a := &Answerer{
+		host: host, center: center, viewer: viewer, caller: caller, clock: clock, bounds: bounds,
+		selector: selector.New(),
+		estimate: estimator.New(estimator.WithPercentile(percentile), estimator.WithWindow(estimateWindow, estimateRefresh)),
+		budget:   budgeter.NewWindow(bounds.Window, budgetShare*bounds.Ratio),
+		random:   rand.Float64, metrics: newMetrics(tally.NoopScope),
+	}
+	for _, o := range options {
+		o(a)
+	}
+	return a
+}
+
+// Answer answers one request. The context ends when the caller no longer waits.
+func (a *Answerer) Answer(ctx context.Context, r *carrier.Request) *carrier.Reply {
+	view := a.viewer.View()
+	q := &query{answerer: a, request: r, view: view}
+	reply := q.answer(ctx)
+	a.note(q, reply)
+	return reply
+}
+
+// note counts and logs how a request ended.
+func (a *Answerer) note(q *query, reply *carrier.Reply) {
+	now := a.clock()
+	took := now.Sub(q.request.Received)
+	a.metrics.count(reply.Outcome, took)
+	event := eventer.RequestEnded
+	if reply.Outcome != carrier.Answered && reply.Outcome != carrier.Gathered {
+		event = eventer.RequestFailed
+	}
+	event.Log(now, "id", q.request.ID, "route", q.routeName(), "outcome", outcomeNames[reply.Outcome], "reason", reply.Reason,
+		"took", took, "version", q.view.Version(), "missing", reply.Missing, "calls", q.calls, "hedges", q.hedges, "retries", q.retries,
+		"stale", q.view.Age(now))
+}
+
+var outcomeNames = map[carrier.Outcome]string{
+	carrier.Answered: "answered", carrier.Gathered: "gathered", carrier.Refused: "refused", carrier.Unrouted: "unrouted",
+	carrier.Failed: "failed", carrier.TimedOut: "timedout", carrier.Abandoned: "abandoned",
+}
--- /dev/null
+++ b/fleetd/answerer/call.go
@@ -0,0 +1,169 @@
+package answerer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"lycheelift.example/fleetd/exchanger"
+	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/selector"
+	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
+)
+
+const (
+	// localHold and remoteHold are the times for which an unused connection is kept. Leaves of other data centres are
+	// called rarely, and their connections are shared by more hosts.
+	localHold  = 10 * time.Second
+	remoteHold = 3 * time.Second
+	// leastShare is the least number of connections that a host may have to a leaf of its own data centre.
+	leastShare = 2
+)
+
+// Reasons of the calls' ends.
+const (
+	reasonNone        = callerv1.Reason_REASON_UNSPECIFIED
+	reasonOverloaded  = callerv1.Reason_REASON_OVERLOADED
+	reasonLost        = callerv1.Reason_REASON_CONNECTION_LOST
+	reasonServerError = callerv1.Reason_REASON_SERVER_ERROR
+	reasonDeadline    = callerv1.Reason_REASON_DEADLINE
+	reasonNoReplica   = callerv1.Reason_REASON_NO_REPLICA
+)
+
+// send starts a leaf call.
+func (q *query) send(ctx context.Context, c planner.Call) {
+	a := q.answerer
+	q.calls++
+	switch c.Kind {
+	case planner.Hedge:
+		q.hedges++
+	case planner.Retry, planner.Resend:
+		q.retries++
+	case planner.Primary:
+	}
+	a.metrics.call(c.Kind)
+	choice := q.choice(c.Shard)
+	ctx, cancel := context.WithCancel(ctx)
+	running := &call{cancel: cancel, call: c, ticket: a.selector.Begin(c.Target.Leaf, &choice, c.Sent)}
+	q.running[c.Attempt] = running
+	out := &carrier.Call{
+		Request: q.request, Leaf: c.Target.Leaf.Name, Address: c.Target.Leaf.Address, Deadline: c.Sent.Add(c.Timeout),
+		Fresh: !q.route.Idempotent, Hold: localHold, Share: q.share(c.Target.Leaf.Service),
+	}
+	if c.Target.Leaf.Center != a.center {
+		out.Hold = remoteHold
+	}
+	results := q.results
+	go func() {
+		answer, err := a.caller.Do(ctx, out)
+		results <- returned{call: running, answer: answer, err: err}
+	}()
+}
+
+// share returns this host's part of the connections that a leaf accepts.
+func (q *query) share(service string) int {
+	s, ok := q.view.Table.Service(service)
+	if !ok || s.Connections <= 0 {
+		return leastShare
+	}
+	return max(leastShare, s.Connections/max(q.view.Entries, 1))
+}
+
+// cancel gives a call up whose shard has been answered.
+func (q *query) cancel(c planner.Call) {
+	if running, ok := q.running[c.Attempt]; ok {
+		delete(q.running, c.Attempt)
+		q.giveUp(running)
+	}
+}
+
+// giveUp ends a call without its answer.
+func (q *query) giveUp(c *call) {
+	c.cancel()
+	c.ticket.End(selector.Abandoned, -1, q.answerer.clock())
+}
+
+// ended judges how a call ended and tells the planner.
+func (q *query) ended(r returned) planner.Event {
+	c := r.call.call
+	r.call.cancel()
+	result := planner.Result{Attempt: c.Attempt, Snapshot: c.Snapshot, Shard: c.Shard, Leaf: c.Target.Leaf.Name}
+	if _, ok := q.running[c.Attempt]; !ok {
+		return planner.Event{Kind: planner.Returned, Result: result} // Given up before; the planner drops it.
+	}
+	delete(q.running, c.Attempt)
+	now := q.answerer.clock()
+	verdict := q.judge(r)
+	result.Reason, result.Unsent, result.NotRun = verdict.reason, verdict.unsent, verdict.notRun
+	load := -1
+	if r.answer != nil && r.answer.Load != nil {
+		load = max(0, r.answer.Load.Running+r.answer.Load.Waiting-1)
+	}
+	r.call.ticket.End(verdict.end, load, now)
+	if verdict.reason == reasonNone {
+		q.answers[c.Attempt] = r.answer
+		q.answerer.estimate.Observe(q.route.Name, now.Sub(c.Sent))
+		return planner.Event{Kind: planner.Returned, Result: result}
+	}
+	q.answerer.metrics.fail(verdict.reason)
+	eventer.CallFailed.Log(now, "id", q.request.ID, "leaf", result.Leaf, "service", c.Target.Leaf.Service, "reason", verdict.reason.String(),
+		"unsent", verdict.unsent, "notrun", verdict.notRun, "took", now.Sub(c.Sent), "detail", verdict.text)
+	return planner.Event{Kind: planner.Returned, Result: result}
+}
+
+// verdict says what a call's end means for the request and for the leaf.
+type verdict struct {
+	reason         callerv1.Reason
+	unsent, notRun bool
+	end            selector.End
+	text           string
+}
+
+func (q *query) judge(r returned) verdict {
+	if r.err != nil {
+		return judgeError(r.err)
+	}
+	a := r.answer
+	switch {
+	case a.ID != "" && a.ID != q.request.ID:
+		return verdict{reason: reasonLost, end: selector.Erred, text: "the answer belongs to another request"}
+	case a.Moved:
+		return verdict{reason: reasonNoReplica, notRun: true, end: selector.Unreachable, text: "another leaf has the address"}
+	case a.NotRun:
+		return verdict{reason: reasonOverloaded, notRun: true, end: selector.Shed, text: http.StatusText(a.Status)}
+	case a.Encoded:
+		return verdict{reason: reasonServerError, end: selector.Erred, text: "the body is encoded"}
+	case a.Status/100 == 2 && a.Stamp != "":
+		return verdict{reason: reasonNone, end: selector.Answered}
+	}
+	if a.Status/100 == 2 {
+		return verdict{reason: reasonLost, end: selector.Erred, text: "a success without the leaf's signature"}
+	}
+	if a.Status/100 != 5 && len(q.route.Gather) == 0 || !q.route.Idempotent {
+		// The leaf's own verdict on the request is the answer.
+		return verdict{reason: reasonNone, end: selector.Neutral}
+	}
+	if len(q.route.Gather) == 0 {
+		q.response = a
+	}
+	return verdict{reason: reasonServerError, end: selector.Erred, text: http.StatusText(a.Status)}
+}
+
+// judgeError judges a call without a whole answer.
+func judgeError(err error) verdict {
+	v := verdict{reason: reasonLost, end: selector.Erred, text: err.Error()}
+	switch {
+	case errors.Is(err, exchanger.ErrBusy):
+		v.reason, v.unsent, v.end = reasonOverloaded, true, selector.Neutral
+	case errors.Is(err, exchanger.ErrUnreachable):
+		v.unsent, v.end = true, selector.Unreachable
+	case errors.Is(err, context.DeadlineExceeded):
+		v.reason, v.end = reasonDeadline, selector.Abandoned
+	case errors.Is(err, exchanger.ErrLost):
+		v.end = selector.Unreachable
+	}
+	return v
+}
--- /dev/null
+++ b/fleetd/answerer/gather.go
@@ -0,0 +1,23 @@
+package answerer
+
+import (
+	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/merger"
+	"lycheelift.example/lib/planner"
+)
+
+// gathered merges the parts.
+func (q *query) gathered(p *planner.Reply) *carrier.Reply {
+	out := &carrier.Reply{Outcome: carrier.Gathered, Missing: len(p.Missing)}
+	bodies := make([][]byte, 0, len(p.Parts))
+	for _, part := range p.Parts {
+		answer := q.answers[part.Attempt]
+		out.Stamps = append(out.Stamps, answer.Stamp)
+		bodies = append(bodies, answer.Body)
+	}
+	out.Body = merger.Merge(bodies, q.route.Top)
+	if len(p.Missing) > 0 {
+		out.Reason = p.Missing[0].Reason.String()
+	}
+	return out
+}
--- /dev/null
+++ b/fleetd/exchanger/exchanger.go
@@ -0,0 +1,181 @@
+// Package exchanger makes calls to leaves over connections of its own: one request at a time on a connection, at most
+// a share of the connections that a leaf accepts, and none used again after anything unexpected on it.
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"lycheelift.example/lib/carrier"
+)
+
+// Protocol writes calls and reads answers.
+type Protocol interface {
+	Write(w *bufio.Writer, c *carrier.Call, now time.Time) error
+	Read(r *bufio.Reader, c *carrier.Call) (*carrier.Answer, error)
+}
+
+const (
+	// connectTimeout bounds the opening of a connection.
+	connectTimeout = time.Second
+	// bufferSize is the size in bytes of a connection's read buffer and of its write buffer.
+	bufferSize = 2 << 10
+	// inlineBody is the size of a request body that is written before the answer is awaited. A longer one is written
+	// beside it, because a leaf may answer before it has read the body.
+	inlineBody = 1 << 10
+	// idleMargin is taken off the time for which a leaf says that it keeps an unused connection.
+	idleMargin = 500 * time.Millisecond
+	// keepPools is the time after which the pool of an unused address is forgotten.
+	keepPools = time.Minute
+)
+
+// Errors of a call.
+var (
+	// ErrBusy means that this host's share of the leaf's connections is in use; nothing was sent.
+	ErrBusy = errors.New("all connections to the leaf are in use")
+	// ErrUnreachable means that no connection could be opened; nothing was sent.
+	ErrUnreachable = errors.New("the leaf cannot be reached")
+	// ErrLost means that the connection failed after the request was sent, at least in part.
+	ErrLost = errors.New("the connection to the leaf was lost")
+	// ErrSpoiled means that the leaf sent bytes that are no answer to the request.
+	ErrSpoiled = errors.New("the leaf's answer cannot be used")
+)
+
+// Exchanger keeps the connections to all leaves. It is safe for concurrent use.
+type Exchanger struct {
+	protocol Protocol
+	clock    func() time.Time
+	dial     func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+
+	mu    sync.Mutex
+	pools map[netip.AddrPort]*pool
+	stats Stats
+}
+
+// Stats counts connections.
+type Stats struct {
+	Opened, Failed, Reused, Stale uint64
+}
+
+// Option changes an exchanger.
+type Option func(*Exchanger)
+
+// WithDial sets how connections are opened.
+func WithDial(dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)) Option {
+	return func(e *Exchanger) { e.dial = dial }
+}
+
+// New returns an exchanger without connections.
+func New(protocol Protocol, clock func() time.Time, options ...Option) *Exchanger {
+	dialer := &net.Dialer{}
+	e := &Exchanger{
+		protocol: protocol, clock: clock, pools: make(map[netip.AddrPort]*pool),
+		dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address.String())
+		},
+	}
+	for _, o := range options {
+		o(e)
+	}
+	return e
+}
+
+// Stats returns the counts so far.
+func (e *Exchanger) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stats
+}
+
+// Do makes a call. It returns when the leaf has answered, the call's deadline has passed or ctx ends.
+func (e *Exchanger) Do(ctx context.Context, c *carrier.Call) (*carrier.Answer, error) {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	link, err := e.connect(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := e.exchange(ctx, link, c)
+	if err != nil {
+		e.discard(link)
+		return nil, err
+	}
+	if answer.Close || link.reader.Buffered() > 0 {
+		e.discard(link)
+		return answer, nil
+	}
+	e.release(link, c, answer)
+	return answer, nil
+}
+
+// exchange sends the request and reads the answer.
+func (e *Exchanger) exchange(ctx context.Context, l *link, c *carrier.Call) (*carrier.Answer, error) {
+	stop := context.AfterFunc(ctx, func() { _ = l.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	written, err := e.write(l, c)
+	if err != nil {
+		return nil, failure(ctx, ErrLost, err)
+	}
+	if _, err := l.reader.Peek(1); err != nil {
+		return nil, failure(ctx, ErrLost, err)
+	}
+	answer, err := e.protocol.Read(l.reader, c)
+	if err != nil {
+		return nil, failure(ctx, spoiled(err), err)
+	}
+	select {
+	case err := <-written:
+		if err != nil {
+			answer.Close = true
+		}
+	default:
+		// The leaf answered before it had the whole body: what is still to be sent must not be taken for a request.
+		answer.Close = true
+	}
+	if !stop() {
+		// The deadline of the connection has been changed.
+		answer.Close = true
+	}
+	return answer, nil
+}
+
+// write sends the request. The channel gives the result; a long body is written while the answer is awaited.
+func (e *Exchanger) write(l *link, c *carrier.Call) (<-chan error, error) {
+	done := make(chan error, 1)
+	send := func() error {
+		w := bufio.NewWriterSize(l.conn, bufferSize)
+		if err := e.protocol.Write(w, c, e.clock()); err != nil {
+			return err
+		}
+		return w.Flush()
+	}
+	if len(c.Request.Body) > inlineBody {
+		go func() { done <- send() }()
+		return done, nil
+	}
+	err := send()
+	done <- err
+	return done, err
+}
+
+// failure prefers the end of the context to the error that it causes.
+func failure(ctx context.Context, kind, err error) error {
+	if ctx.Err() != nil {
+		return errors.Join(ctx.Err(), kind)
+	}
+	return errors.Join(kind, err)
+}
+
+// spoiled tells a broken connection from bytes that are no answer.
+func spoiled(err error) error {
+	var network net.Error
+	if errors.As(err, &network) {
+		return ErrLost
+	}
+	return ErrSpoiled
+}
--- /dev/null
+++ b/fleetd/exchanger/pool.go
@@ -0,0 +1,152 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"lycheelift.example/lib/carrier"
+)
+
+// link is one connection.
+type link struct {
+	pool    *pool
+	conn    net.Conn
+	reader  *bufio.Reader
+	expires time.Time
+}
+
+// pool is the set of connections to one address.
+type pool struct {
+	address netip.AddrPort
+	open    int
+	idle    []*link
+	used    time.Time
+}
+
+// connect takes an unused connection that is still sound, or opens one within the host's share.
+func (e *Exchanger) connect(ctx context.Context, c *carrier.Call) (*link, error) {
+	if !c.Fresh {
+		if l := e.reuse(c); l != nil {
+			return l, nil
+		}
+	}
+	p, err := e.reserve(c)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := e.dial(ctx, c.Address)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil {
+		p.open--
+		e.stats.Failed++
+		return nil, errors.Join(ctx.Err(), ErrUnreachable, err)
+	}
+	e.stats.Opened++
+	return &link{pool: p, conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+}
+
+// reuse takes the connection that was used last. Those that have expired or show a byte or an end are closed.
+func (e *Exchanger) reuse(c *carrier.Call) *link {
+	now := e.clock()
+	for {
+		l := e.take(c.Address, now)
+		if l == nil {
+			return nil
+		}
+		if now.Before(l.expires) && quiet(l.conn) {
+			return l
+		}
+		e.mu.Lock()
+		e.stats.Stale++
+		e.mu.Unlock()
+		e.discard(l)
+	}
+}
+
+func (e *Exchanger) take(address netip.AddrPort, now time.Time) *link {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[address]
+	if p == nil || len(p.idle) == 0 {
+		return nil
+	}
+	p.used = now
+	l := p.idle[len(p.idle)-1]
+	p.idle = p.idle[:len(p.idle)-1]
+	e.stats.Reused++
+	return l
+}
+
+// reserve counts a connection that is to be opened. An unused one is closed when the share would be exceeded.
+func (e *Exchanger) reserve(c *carrier.Call) (*pool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p := e.pools[c.Address]
+	if p == nil {
+		p = &pool{address: c.Address}
+		e.pools[c.Address] = p
+	}
+	p.used = e.clock()
+	if p.open >= max(c.Share, 1) {
+		if len(p.idle) == 0 {
+			return nil, ErrBusy
+		}
+		oldest := p.idle[0]
+		p.idle = p.idle[1:]
+		p.open--
+		_ = oldest.conn.Close()
+	}
+	p.open++
+	return p, nil
+}
+
+// release keeps a connection for the next call.
+func (e *Exchanger) release(l *link, c *carrier.Call, a *carrier.Answer) {
+	hold := c.Hold
+	if a.Idle > 0 {
+		hold = min(hold, a.Idle-idleMargin)
+	}
+	if hold <= 0 {
+		e.discard(l)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.expires = e.clock().Add(hold)
+	l.pool.idle = append(l.pool.idle, l)
+}
+
+func (e *Exchanger) discard(l *link) {
+	_ = l.conn.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.pool.open--
+}
+
+// Sweep closes unused connections that have expired. It is to be called now and then.
+func (e *Exchanger) Sweep(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for address, p := range e.pools {
+		kept := p.idle[:0]
+		for _, l := range p.idle {
+			if now.Before(l.expires) {
+				kept = append(kept, l)
+				continue
+			}
+			p.open--
+			_ = l.conn.Close()
+		}
+		p.idle = kept
+		if p.open == 0 && now.Sub(p.used) >= keepPools {
+			delete(e.pools, address)
+		}
+	}
+}
--- /dev/null
+++ b/fleetd/follower/run.go
@@ -0,0 +1,129 @@
+package follower
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"lycheelift.example/fleetd/linker"
+	"lycheelift.example/lib/eventer"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+const (
+	// retryInterval is the wait after no control host could be followed.
+	retryInterval = 100 * time.Millisecond
+	// unsettledTime is how long an entry host stays with a control host that is not in contact with a leader, before
+	// it looks for another.
+	unsettledTime = 300 * time.Millisecond
+)
+
+// errUnsettled means that the control host has not heard from a leader for a while.
+var errUnsettled = errors.New("the control host is not in contact with a leader")
+
+// Client follows one control host after the other.
+type Client struct {
+	follower *Follower
+	host     string
+	center   string
+	seeds    func() []string
+	clock    func() time.Time
+	// controls are the control hosts of which the last message told.
+	controls []control
+}
+
+type control struct {
+	address, center string
+}
+
+// NewClient returns a client that gives what it hears to a follower. Seeds returns addresses of control hosts.
+func NewClient(f *Follower, host, center string, seeds func() []string, clock func() time.Time) *Client {
+	return &Client{follower: f, host: host, center: center, seeds: seeds, clock: clock}
+}
+
+// Run follows control hosts until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, address := range c.candidates() {
+			err := c.follow(ctx, address)
+			if ctx.Err() != nil {
+				return
+			}
+			eventer.ControlLost.Log(c.clock(), "control", address, "version", c.follower.View().Version(),
+				"stale", c.follower.View().Age(c.clock()), "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retryInterval):
+		}
+	}
+}
+
+// candidates lists the control hosts, those of the own data centre first. Hosts of one data centre begin at different
+// ones of the others.
+func (c *Client) candidates() []string {
+	var own, others []string
+	add := func(address, center string) {
+		switch {
+		case slices.Contains(own, address) || slices.Contains(others, address):
+		case center == c.center:
+			own = append(own, address)
+		default:
+			others = append(others, address)
+		}
+	}
+	for _, k := range c.controls {
+		add(k.address, k.center)
+	}
+	for _, address := range c.seeds() {
+		add(address, "")
+	}
+	rotate(own, c.host)
+	rotate(others, c.host)
+	return append(own, others...)
+}
+
+// rotate spreads hosts over the beginnings of a list.
+func rotate(list []string, host string) {
+	if len(list) == 0 {
+		return
+	}
+	n := 0
+	for _, b := range []byte(host) {
+		n = (n*31 + int(b)) % len(list)
+	}
+	turned := append(slices.Clone(list[n:]), list[:n]...)
+	copy(list, turned)
+}
+
+// follow follows one control host until it goes silent or loses its leader.
+func (c *Client) follow(ctx context.Context, address string) error {
+	request := &peerv1.FollowRequest{Host: c.host, Center: c.center, Version: c.follower.View().Version()}
+	settled, first := c.clock(), true
+	return linker.Follow(ctx, address, request, func(m *peerv1.FollowResponse) error {
+		now := c.clock()
+		c.follower.Take(m, now)
+		if k := m.GetControls(); len(k) > 0 {
+			c.learn(k)
+		}
+		if first {
+			first = false
+			eventer.ControlFollowed.Log(now, "control", address, "settled", m.GetSettled(), "index", m.GetIndex(), "leaves", len(m.GetLeaves()))
+		}
+		if m.GetSettled() {
+			settled = now
+		}
+		if now.Sub(settled) >= unsettledTime {
+			return errUnsettled
+		}
+		return nil
+	})
+}
+
+func (c *Client) learn(in []*peerv1.ControlHost) {
+	c.controls = c.controls[:0]
+	for _, k := range in {
+		c.controls = append(c.controls, control{address: k.GetAddress(), center: k.GetCenter()})
+	}
+}
--- /dev/null
+++ b/fleetd/follower/view.go
@@ -0,0 +1,55 @@
+// Package follower keeps what an entry host knows from the control hosts: the configuration in force, the leaves, and
+// which data centres are evacuated.
+package follower
+
+import (
+	"time"
+
+	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/enroller"
+	"lycheelift.example/lib/router"
+)
+
+// View is what an entry host knows at one moment. It never changes.
+type View struct {
+	// Table is nil before the first configuration.
+	Table *router.Table
+	// Holders lists the leaves of each service that may be called.
+	Holders map[string][]*cataloguer.Leaf
+	// Evacuated holds the data centres whose leaves may not be called.
+	Evacuated map[string]bool
+	// Entries is the number of entry hosts, at least 1.
+	Entries int
+	// Index is the newest record of the replicated log that is included.
+	Index uint64
+	// Settled is when this host last heard from a control host in contact with a leader.
+	Settled time.Time
+}
+
+// Version returns the version of the configuration in force, 0 before the first.
+func (v *View) Version() uint64 {
+	if v.Table == nil {
+		return 0
+	}
+	return v.Table.Version()
+}
+
+// Age returns the time for which the view may have been out of date.
+func (v *View) Age(now time.Time) time.Duration {
+	return now.Sub(v.Settled)
+}
+
+// holders groups the leaves that may be called by service.
+func holders(leaves []*enroller.Leaf, evacuated map[string]bool) map[string][]*cataloguer.Leaf {
+	out := make(map[string][]*cataloguer.Leaf)
+	for _, l := range leaves {
+		if l.Leaving || evacuated[l.Center] {
+			continue
+		}
+		out[l.Service] = append(out[l.Service], &cataloguer.Leaf{
+			Name: l.Name, Incarnation: l.Born, Sequence: l.Sequence, Address: l.Address, Center: l.Center, Service: l.Service,
+			State: cataloguer.Warm, Slots: l.Slots, ColdUntil: l.ColdUntil,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/fleetd/keeper/peers.go
@@ -0,0 +1,144 @@
+package keeper
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"lycheelift.example/fleetd/linker"
+	"lycheelift.example/lib/enroller"
+	"lycheelift.example/lib/eventer"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+const (
+	// peersInterval is the time between two looks for control hosts that are not followed yet.
+	peersInterval = 200 * time.Millisecond
+	// againInterval is the wait before a control host that was lost is followed again.
+	againInterval = 200 * time.Millisecond
+	// countTime is the time for which a control host's count of entry hosts holds.
+	countTime = 10 * time.Second
+)
+
+// count notes that an entry host begins or ends to follow this host.
+func (k *Keeper) count(request *peerv1.FollowRequest, change int) {
+	if request.GetControl() {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.followers += change
+}
+
+// entries returns the number of entry hosts that follow any control host, and of those that follow this one.
+func (k *Keeper) entries(now time.Time) (all, own uint32) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	total := k.followers
+	for _, c := range k.others {
+		if now.Sub(c.heard) < countTime {
+			total += c.entries
+		}
+	}
+	return uint32(total), uint32(k.followers) //nolint:gosec // Numbers of hosts.
+}
+
+// hosts returns the control hosts that followers may turn to: the members of the group.
+func (k *Keeper) hosts() []*peerv1.ControlHost {
+	out := []*peerv1.ControlHost{{Address: k.peer, Center: k.center}}
+	for _, m := range k.log.Status().Members.GetReplicas() {
+		if m.GetAddress() != k.peer {
+			out = append(out, &peerv1.ControlHost{Address: m.GetAddress(), Center: m.GetCenter()})
+		}
+	}
+	return out
+}
+
+// FollowPeers follows every other control host until ctx ends. Seeds returns addresses besides those of the members.
+func (k *Keeper) FollowPeers(ctx context.Context, seeds func() []string) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	var mu sync.Mutex
+	followed := make(map[string]bool)
+	ticker := time.NewTicker(peersInterval)
+	defer ticker.Stop()
+	for {
+		for _, address := range k.peers(seeds()) {
+			mu.Lock()
+			known := followed[address]
+			followed[address] = true
+			mu.Unlock()
+			if known {
+				continue
+			}
+			running.Go(func() {
+				k.followPeer(ctx, address)
+				mu.Lock()
+				delete(followed, address)
+				mu.Unlock()
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// peers lists the addresses of the other control hosts.
+func (k *Keeper) peers(seeds []string) []string {
+	out := make(map[string]bool)
+	for _, h := range k.hosts() {
+		out[h.GetAddress()] = true
+	}
+	for _, address := range seeds {
+		out[address] = true
+	}
+	delete(out, k.peer)
+	return slices.Sorted(maps.Keys(out))
+}
+
+// followPeer takes another control host's roster for as long as it can be heard.
+func (k *Keeper) followPeer(ctx context.Context, address string) {
+	heard := false
+	err := linker.Follow(ctx, address, &peerv1.FollowRequest{Host: k.host, Center: k.center, Control: true}, func(m *peerv1.FollowResponse) error {
+		if !heard {
+			heard = true
+			eventer.ControlFollowed.Log(k.clock(), "control", address, "settled", m.GetSettled(), "index", m.GetIndex(), "leaves", len(m.GetLeaves()))
+		}
+		k.take(address, m, k.clock())
+		return nil
+	})
+	if heard && ctx.Err() == nil {
+		eventer.ControlLost.Log(k.clock(), "control", address, "error", err.Error())
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(againInterval):
+	}
+}
+
+// take takes a message of another control host.
+func (k *Keeper) take(address string, m *peerv1.FollowResponse, now time.Time) {
+	for _, record := range m.GetLeaves() {
+		if record.GetLeaving() {
+			k.roster.Leave(record.GetLeaf(), record.GetBorn(), now)
+			continue
+		}
+		if k.store.Departed(record.GetLeaf(), record.GetBorn()) {
+			continue
+		}
+		l, err := enroller.Decode(record, now)
+		if err != nil {
+			eventer.AnnounceRejected.Log(now, "leaf", record.GetLeaf(), "error", err.Error())
+			continue
+		}
+		k.roster.Put(l, now)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.others[address] = count{entries: int(m.GetFollowers()), heard: now, center: m.GetCenter(), control: m.GetControl()}
+}
--- /dev/null
+++ b/fleetd/linker/linker.go
@@ -0,0 +1,85 @@
+// Package linker follows a control host over a stream and notices when the stream goes silent.
+package linker
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+const (
+	// Interval is the time after which a control host sends a sign of life.
+	Interval = 400 * time.Millisecond
+	// Silence is the time without a message after which a stream is given up: three signs of life may be late or lost.
+	Silence = 1500 * time.Millisecond
+	// window is the flow control window of a stream and of its connection, in bytes.
+	window = 64 << 10
+	// buffer is the size of a connection's read buffer and of its write buffer, in bytes.
+	buffer = 4 << 10
+	// maxMessage bounds a message in bytes: a document of the largest size and a roster of some thousand leaves.
+	maxMessage = 16 << 20
+)
+
+// Errors of a stream.
+var (
+	// ErrSilent means that no message came for the time Silence.
+	ErrSilent = errors.New("the control host is silent")
+	// ErrDone is returned by a receiver that wants no further message.
+	ErrDone = errors.New("the stream is not wanted any more")
+)
+
+// Options returns the options of connections and of servers, which keep their buffers small: memory has a price.
+func Options() ([]grpc.DialOption, []grpc.ServerOption) {
+	dial := []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
+		grpc.WithReadBufferSize(buffer), grpc.WithWriteBufferSize(buffer), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
+	}
+	serve := []grpc.ServerOption{
+		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window), grpc.ReadBufferSize(buffer), grpc.WriteBufferSize(buffer),
+		grpc.MaxRecvMsgSize(maxMessage),
+	}
+	return dial, serve
+}
+
+// Follow opens a stream to a control host and gives each message to receive, until the stream ends, goes silent or
+// receive returns an error.
+func Follow(ctx context.Context, address string, request *peerv1.FollowRequest, receive func(*peerv1.FollowResponse) error) error {
+	dial, _ := Options()
+	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
+	if err != nil {
+		return oops.In("linker").Wrapf(err, "connect to %s", address)
+	}
+	defer func() { _ = conn.Close() }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(Silence, func() { cancel(ErrSilent) })
+	defer watchdog.Stop()
+	stream, err := peerv1.NewFollowServiceClient(conn).Follow(ctx, request)
+	if err != nil {
+		return cause(ctx, err)
+	}
+	for {
+		message, err := stream.Recv()
+		if err != nil {
+			return cause(ctx, err)
+		}
+		watchdog.Reset(Silence)
+		if err := receive(message); err != nil {
+			return err
+		}
+	}
+}
+
+// cause prefers the reason for which the stream was given up to the error that follows from it.
+func cause(ctx context.Context, err error) error {
+	if reason := context.Cause(ctx); reason != nil {
+		return reason
+	}
+	return oops.In("linker").Wrap(err)
+}
--- /dev/null
+++ b/fleetd/server/server.go
@@ -0,0 +1,108 @@
+// Package server starts the parts of an entry host or a control host and stops them gracefully.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/exporter"
+	settings "lycheelift.example/schema/gen/settings/fleetd"
+)
+
+// Settings are the checked settings of a host.
+type Settings struct {
+	settings.Fleet
+
+	address netip.Addr
+	seeds   []netip.AddrPort
+	peers   netip.AddrPort
+	grace   time.Duration
+	window  time.Duration
+}
+
+// ErrSettings marks settings that the schema permits and the host cannot use.
+var ErrSettings = errors.New("the settings cannot be used")
+
+// Parse turns settings that the schema has checked into addresses and times.
+func Parse(in settings.Fleet) (*Settings, error) {
+	s := &Settings{Fleet: in}
+	var faults []error
+	fail := func(key string, err error) {
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", key, err))
+		}
+	}
+	var err error
+	s.address, err = netip.ParseAddr(in.Address)
+	fail("address", err)
+	for i, text := range in.Seeds {
+		seed, err := netip.ParseAddrPort(text)
+		fail("seeds."+strconv.Itoa(i), err)
+		s.seeds = append(s.seeds, seed)
+	}
+	s.peers = netip.AddrPortFrom(s.address, uint16(in.Ports[0])) //nolint:gosec // The schema permits ports only.
+	s.grace, err = time.ParseDuration(in.Bounds.Grace)
+	fail("bounds.grace", err)
+	s.window, err = time.ParseDuration(in.Bounds.Window)
+	fail("bounds.window", err)
+	if len(faults) > 0 {
+		return nil, errors.Join(append([]error{ErrSettings}, faults...)...)
+	}
+	return s, nil
+}
+
+// controls returns the addresses at which the seeds serve other hosts: the internal port is the same on every host.
+func (s *Settings) controls() []string {
+	out := make([]string, 0, len(s.seeds))
+	for _, seed := range s.seeds {
+		out = append(out, netip.AddrPortFrom(seed.Addr(), s.peers.Port()).String())
+	}
+	return out
+}
+
+// SteadyClock returns a clock that starts at the time of day and then follows the steady clock, so that a jump of the
+// time of day changes no decision.
+func SteadyClock() func() time.Time {
+	start := time.Now()
+	return func() time.Time { return start.Add(time.Since(start)) }
+}
+
+// serveMetrics serves the scrape endpoint until ctx ends.
+func serveMetrics(ctx context.Context, address string, e *exporter.Exporter, clock func() time.Time) {
+	if address == "" {
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", e.Handler)
+	if err := serve(ctx, address, mux); err != nil {
+		eventer.ServeFailed.Log(clock(), "address", address, "error", err.Error())
+	}
+}
+
+// headerTimeout bounds the time in which a request's header must arrive.
+const headerTimeout = 5 * time.Second
+
+// serve serves an address until ctx ends, then closes it.
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return oops.In("server").Wrapf(err, "listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	err = server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return oops.In("server").Wrapf(err, "serve %s", address)
+}
--- /dev/null
+++ b/lib/budgeter/window_test.go
@@ -0,0 +1,61 @@
+package budgeter_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/lib/budgeter"
+)
+
+// Guards against more extra calls in some window than the ratio permits, whenever the window begins: a broad slowdown
+// in which every request wants a hedge.
+func TestExtraCallsKeepToTheRatioInAnyWindow(t *testing.T) {
+	const length, ratio = 10 * time.Second, 0.2
+	random := rand.New(rand.NewPCG(1, 1))
+	w := budgeter.NewWindow(length, ratio)
+	type event struct {
+		at    time.Duration
+		extra bool
+	}
+	var events []event
+	start := time.Unix(1000, 0)
+	for at := time.Duration(0); at < time.Minute; at += time.Duration(random.Int64N(int64(20 * time.Millisecond))) {
+		now := start.Add(at)
+		w.Request("desk", now)
+		events = append(events, event{at: at})
+		if w.Spend("desk", 0, now) {
+			events = append(events, event{at: at, extra: true})
+		}
+	}
+	for i := range events {
+		requests, extras := 0, 0
+		for _, e := range events[i:] {
+			if e.at-events[i].at >= length {
+				break
+			}
+			if e.extra {
+				extras++
+			} else {
+				requests++
+			}
+		}
+		// The last windows are cut short; the bound refers to the requests before them too.
+		if events[i].at < 50*time.Second {
+			qt.Assert(t, float64(extras) <= ratio*float64(requests)+2, qt.IsTrue, qt.Commentf("%d of %d at %s", extras, requests, events[i].at))
+		}
+	}
+}
+
+// Guards against a slack that is spent more than once in a window, and against one that never returns.
+func TestSlackReturnsAfterTheWindow(t *testing.T) {
+	w := budgeter.NewWindow(10*time.Second, 0.2)
+	start := time.Unix(1000, 0)
+	qt.Assert(t, w.Spend("desk", 2, start), qt.IsTrue)
+	qt.Assert(t, w.Spend("desk", 2, start.Add(time.Second)), qt.IsTrue)
+	qt.Assert(t, w.Spend("desk", 2, start.Add(9*time.Second)), qt.IsFalse)
+	qt.Assert(t, w.Spend("desk", 2, start.Add(10*time.Second)), qt.IsTrue)
+	qt.Assert(t, w.Left("desk", 2, start.Add(10*time.Second)), qt.Equals, 0.0)
+}
--- a/lib/cataloguer/table.go
+++ b/lib/cataloguer/table.go
@@ -49,6 +49,8 @@
 	Holdings    []Holding
 	// Heard is when the announcement was received.
 	Heard time.Time
+	// ColdUntil is when the leaf will be warm by its own statement; it is set where leaves state a time.
+	ColdUntil time.Time
 	// Published is true when the leaf comes from the record of its owner instead of an announcement to this host.
 	Published bool
 	// Owner is the host that publishes the leaf, and Epoch that of its lease.
--- a/lib/checker/document.go
+++ b/lib/checker/document.go
@@ -25,6 +25,7 @@
 	Entry         Schema = "entryd.schema.json"
 	Control       Schema = "controld.schema.json"
 	Configuration Schema = "configuration.schema.json"
+	Fleet         Schema = "fleetd.schema.json"
 )
 
 var compiled = struct {
--- /dev/null
+++ b/lib/enroller/enroller_test.go
@@ -0,0 +1,118 @@
+package enroller_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/lib/enroller"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
+
+var start = time.Unix(1000, 0)
+
+func leaf(name string, born, sequence uint64, address string) *enroller.Leaf {
+	return &enroller.Leaf{
+		Name: name, Born: born, Sequence: sequence, Service: "desk", Address: netip.MustParseAddrPort(address),
+		Center: "a", Slots: 2, ColdUntil: start,
+	}
+}
+
+func known(t *testing.T, r *enroller.Roster, name string) *enroller.Leaf {
+	t.Helper()
+	l, ok := r.Find(name)
+	qt.Assert(t, ok, qt.IsTrue)
+	return l
+}
+
+// Guards against a heartbeat that arrives late and brings back a leaf that leaves, or an older incarnation.
+func TestLateHeartbeatChangesNothing(t *testing.T) {
+	r := enroller.New()
+	qt.Assert(t, r.Put(leaf("x", 10, 1, "10.0.0.1:80"), start), qt.Equals, enroller.Changed)
+	qt.Assert(t, r.Put(leaf("x", 10, 2, "10.0.0.1:80"), start), qt.Equals, enroller.Same)
+	r.Leave("x", 10, start)
+	qt.Assert(t, r.Put(leaf("x", 10, 3, "10.0.0.1:80"), start), qt.Equals, enroller.Stale)
+	qt.Assert(t, known(t, r, "x").Leaving, qt.IsTrue)
+	qt.Assert(t, r.Put(leaf("x", 20, 1, "10.0.0.1:80"), start), qt.Equals, enroller.Changed)
+	qt.Assert(t, known(t, r, "x").Leaving, qt.IsFalse)
+	qt.Assert(t, r.Put(leaf("x", 10, 9, "10.0.0.1:80"), start), qt.Equals, enroller.Stale)
+	r.Leave("x", 10, start)
+	qt.Assert(t, known(t, r, "x").Leaving, qt.IsFalse)
+}
+
+// Guards against requests for a leaf that is gone at an address that another leaf has now.
+func TestAddressBelongsToTheNewestIncarnation(t *testing.T) {
+	r := enroller.New()
+	r.Put(leaf("old", 10, 5, "10.0.0.1:80"), start)
+	next := leaf("new", 20, 1, "10.0.0.1:80")
+	next.Service = "files"
+	qt.Assert(t, r.Put(next, start), qt.Equals, enroller.Changed)
+	qt.Assert(t, known(t, r, "old").Leaving, qt.IsTrue)
+	qt.Assert(t, r.Put(leaf("old", 10, 6, "10.0.0.1:80"), start), qt.Equals, enroller.Stale)
+	qt.Assert(t, r.Put(leaf("older", 5, 6, "10.0.0.1:80"), start), qt.Equals, enroller.Stale)
+	qt.Assert(t, known(t, r, "new").Leaving, qt.IsFalse)
+}
+
+// Guards against a heartbeat of another writer that moves a leaf to another service or address.
+func TestContradictionIsIgnored(t *testing.T) {
+	r := enroller.New()
+	r.Put(leaf("x", 10, 1, "10.0.0.1:80"), start)
+	forged := leaf("x", 10, 99, "10.0.0.1:80")
+	forged.Service = "other"
+	qt.Assert(t, r.Put(forged, start), qt.Equals, enroller.Conflicting)
+	qt.Assert(t, r.Put(leaf("x", 10, 99, "10.0.0.2:80"), start), qt.Equals, enroller.Conflicting)
+	qt.Assert(t, known(t, r, "x").Service, qt.Equals, "desk")
+	qt.Assert(t, r.Put(leaf("x", 10, 2, "10.0.0.1:80"), start), qt.Equals, enroller.Same)
+}
+
+// Guards against a stream that sends every heartbeat, and against one that misses a change.
+func TestFollowersGetChangesAndPeersAlsoRefreshes(t *testing.T) {
+	r := enroller.New()
+	r.Put(leaf("x", 10, 1, "10.0.0.1:80"), start)
+	first := r.Since(0, false)
+	qt.Assert(t, first.Whole, qt.IsTrue)
+	qt.Assert(t, first.Leaves, qt.HasLen, 1)
+	r.Put(leaf("x", 10, 2, "10.0.0.1:80"), start.Add(time.Second))
+	qt.Assert(t, r.Since(first.Revision, true).Leaves, qt.HasLen, 0)
+	r.Put(leaf("x", 10, 3, "10.0.0.1:80"), start.Add(enroller.Refresh))
+	qt.Assert(t, r.Since(first.Revision, false).Leaves, qt.HasLen, 0)
+	qt.Assert(t, r.Since(first.Revision, true).Leaves, qt.HasLen, 1)
+	select {
+	case <-first.Changed:
+		t.Fatal("a refresh woke the followers")
+	default:
+	}
+	r.Leave("x", 10, start)
+	<-first.Changed
+	qt.Assert(t, r.Since(first.Revision, false).Leaves, qt.HasLen, 1)
+}
+
+// Guards against leaves that crashed and stay in the roster for ever, and against the loss of one that is heard.
+func TestSilentLeavesAreDropped(t *testing.T) {
+	r := enroller.New()
+	r.Put(leaf("silent", 10, 1, "10.0.0.1:80"), start)
+	r.Put(leaf("heard", 10, 1, "10.0.0.2:80"), start)
+	r.Put(leaf("heard", 10, 2, "10.0.0.2:80"), start.Add(10*time.Second))
+	dropped := r.Expire(start.Add(enroller.Silence))
+	qt.Assert(t, dropped, qt.HasLen, 1)
+	qt.Assert(t, dropped[0].Name, qt.Equals, "silent")
+	known(t, r, "heard")
+	qt.Assert(t, r.Put(leaf("silent", 10, 2, "10.0.0.1:80"), start.Add(enroller.Silence)), qt.Equals, enroller.Changed)
+}
+
+// Guards against a departure that a restart of all control hosts forgets.
+func TestDeparturesSurviveASnapshot(t *testing.T) {
+	d := enroller.NewDepartures()
+	d.Apply("x", 10, start)
+	state := &statev1.State{}
+	d.Save(state)
+	other := enroller.NewDepartures()
+	other.Load(state)
+	qt.Assert(t, other.Departed("x", 10), qt.IsTrue)
+	qt.Assert(t, other.Departed("x", 9), qt.IsTrue)
+	qt.Assert(t, other.Departed("x", 11), qt.IsFalse)
+	other.Apply("y", 1, start.Add(time.Hour))
+	qt.Assert(t, other.Departed("x", 10), qt.IsFalse)
+}
--- a/lib/eventer/event.go
+++ b/lib/eventer/event.go
@@ -29,6 +29,9 @@
 	repeatRate = 5
 	// repeatBurst is the number of lines of one event that may be written at once.
 	repeatBurst = 20
+	// frequentRate and frequentBurst are the same for events of single requests and calls.
+	frequentRate  = 50
+	frequentBurst = 200
 )
 
 // Event is a kind of log line.
@@ -64,6 +67,13 @@
 	return e
 }
 
+// frequent registers an event of which there is one for each request or call.
+func frequent(number int, level Level, text string) Event {
+	e := define(number, level, text)
+	e.limit = rate.NewLimiter(frequentRate, frequentBurst)
+	return e
+}
+
 // All returns every event, sorted by number.
 func All() []Event {
 	registry.Lock()
--- a/lib/eventer/log.go
+++ b/lib/eventer/log.go
@@ -12,5 +12,6 @@
 	GroupFounded    = define(4008, Info, "control group founded")
 	SnapshotTaken   = define(4009, Info, "snapshot taken and log compacted")
 	SnapshotArrived = define(4010, Info, "snapshot received from the leader")
+	LogUnopened     = define(4012, Warning, "the log cannot be opened again after a failed write")
 	GroupAwaited    = define(4011, Warning, "empty data folder: waiting for the control group")
 )
--- a/lib/eventer/query.go
+++ b/lib/eventer/query.go
@@ -11,4 +11,7 @@
 	SuspectUntold    = define(1007, Warning, "host was not told of a suspected request")
 	TraceKept        = define(1008, Info, "trace of a query was written")
 	TraceFailed      = define(1009, Warning, "trace of a query could not be written")
+	RequestEnded     = frequent(1010, Info, "request answered")
+	RequestFailed    = frequent(1011, Warning, "request not answered")
+	CallFailed       = frequent(1012, Info, "leaf call failed")
 )
--- a/lib/eventer/state.go
+++ b/lib/eventer/state.go
@@ -8,4 +8,12 @@
 	BeginFailed     = define(5004, Warning, "begin not decided")
 	FinishFailed    = define(5005, Warning, "outcome not stored")
 	MemberRequested = define(5006, Info, "operator changed the control members")
+
+	DocumentDecided     = define(5007, Info, "configuration document decided")
+	DocumentUndecided   = define(5008, Warning, "configuration document not decided")
+	DocumentRefused     = define(5009, Warning, "configuration document refused")
+	EvacuationDecided   = define(5010, Info, "evacuation of a data centre decided")
+	EvacuationUndecided = define(5011, Warning, "evacuation of a data centre not decided")
+	DepartureDecided    = define(5012, Info, "departure of a leaf recorded")
+	DepartureUndecided  = define(5013, Warning, "departure of a leaf not recorded")
 )
--- a/lib/planner/action.go
+++ b/lib/planner/action.go
@@ -81,6 +81,8 @@
 // Part is one shard's answer.
 type Part struct {
 	Shard uint32
+	// Attempt is the call that was answered.
+	Attempt string
 	Body  []byte
 }
 
--- a/lib/planner/event.go
+++ b/lib/planner/event.go
@@ -35,6 +35,8 @@
 	Reason Reason
 	// Unsent is true when the leaf never received the call.
 	Unsent bool
+	// NotRun is true when the leaf received the call and states that it did not run it and never will.
+	NotRun bool
 	// Owner is the owner that the answering host knows of, with REASON_NOT_OWNER.
 	Owner string
 }
--- a/lib/planner/fake_test.go
+++ b/lib/planner/fake_test.go
@@ -142,7 +142,7 @@
 func (f *fake) Trigger() time.Duration { return f.trigger }
 func (f *fake) Primary(n int)          { f.primary += n }
 
-func (f *fake) Hedge() bool {
+func (f *fake) Hedge(uint32) bool {
 	if f.denials > 0 {
 		f.denials--
 		return false
@@ -154,7 +154,7 @@
 	return true
 }
 
-func (f *fake) Retry() bool {
+func (f *fake) Retry(uint32) bool {
 	if f.retried >= f.retries {
 		return false
 	}
--- a/lib/planner/finish.go
+++ b/lib/planner/finish.go
@@ -16,7 +16,7 @@
 			reply.Parts = make([]Part, 0, len(p.shards))
 		}
 		reply.Answered++
-		reply.Parts = append(reply.Parts, Part{Shard: n, Body: s.body})
+		reply.Parts = append(reply.Parts, Part{Shard: n, Attempt: s.winner, Body: s.body})
 	}
 	p.judge(reply)
 	p.checkReply(reply)
--- a/lib/planner/hedge.go
+++ b/lib/planner/hedge.go
@@ -28,7 +28,7 @@
 		most = maxCanaryHedges
 	}
 	s := &p.shards[a.call.Shard]
-	return p.mayHedge() && n >= p.first && a.state == open && s.last == n && !s.settled && s.hedges < most && s.attempts < maxAttempts
+	return p.mayHedge() && n >= p.first && a.state == open && s.last == n && !s.settled && s.hedges < most && p.spare(s)
 }
 
 // second hedges an attempt. It reports false when there was no budget; without another replica nothing is to be done.
@@ -38,7 +38,7 @@
 	if !ok {
 		return true
 	}
-	if !p.world.Hedge() {
+	if !p.world.Hedge(i) {
 		return false
 	}
 	if p.send(i, target, Hedge, now) {
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -40,10 +40,13 @@
 	body     []byte
 	// source is the snapshot that the body comes from.
 	source   uint64
+	winner   string
 	last     int
 	attempts int
-	hedges   int
-	open     int
+	// unsent counts the attempts that never reached a leaf.
+	unsent int
+	hedges int
+	open   int
 }
 
 // due is a call that is hedged when its time comes.
@@ -76,6 +79,8 @@
 	recheck time.Time
 	hedges  []due
 	timer   time.Time
+	// late is true once the target has passed without enough parts.
+	late    bool
 	closed  bool
 	actions []Action
 }
@@ -121,6 +126,7 @@
 		p.unpark(now)
 		p.hedge(now)
 	}
+	p.suffice(now)
 	p.advance(now)
 	return p.actions
 }
@@ -146,6 +152,9 @@
 	if len(p.parked) > 0 && p.recheck.Before(next) {
 		next = p.recheck
 	}
+	if at := p.sufficeAt(); at.After(now) && at.Before(next) {
+		next = at
+	}
 	if !next.Equal(p.timer) {
 		p.timer = next
 		p.actions = append(p.actions, Action{Kind: SetTimer, At: next})
--- a/lib/planner/query.go
+++ b/lib/planner/query.go
@@ -16,8 +16,8 @@
 const Hop = time.Millisecond
 
 const (
-	// maxAttempts bounds the calls for one shard: a primary call, two hedges and three retries.
-	maxAttempts = 6
+	// maxSends bounds the calls for one shard: a primary call, two hedges and three retries.
+	maxSends = 6
 	// maxHedges is 2 because at a fan-out of 990 with 1% of slow calls about 0.1 hedges of a query are slow too.
 	maxHedges = 2
 	// maxCanaryHedges is 1, so that a request that crashes servers meets at most two before it is known.
@@ -36,9 +36,14 @@
 	Alone bool
 	// Least is the least coverage that the caller accepts, 0 to 1.
 	Least float64
+	// Attempts bounds the leaves that one shard's calls may reach; zero means the planner's own bound.
+	Attempts int
 	// Received and Deadline bound the time of the query.
 	Received time.Time
 	Deadline time.Time
+	// Target is when an answer loses most of its worth: from then on the parts that are in suffice if they reach
+	// Least. Zero means that all parts are awaited until the deadline.
+	Target time.Time
 }
 
 // Target is a leaf and the host that owns it.
@@ -59,6 +64,6 @@
 	// Primary earns hedge and retry budget for n primary calls.
 	Primary(n int)
 	// Hedge and Retry spend budget for one call and report whether there was any.
-	Hedge() bool
-	Retry() bool
+	Hedge(shard uint32) bool
+	Retry(shard uint32) bool
 }
--- a/lib/planner/retry.go
+++ b/lib/planner/retry.go
@@ -5,7 +5,7 @@
 // retry makes another call for a shard whose calls have all failed. It reports whether it did.
 func (p *Planner) retry(n int, r Result, now time.Time) bool {
 	s := &p.shards[r.Shard]
-	if p.crashed || s.attempts >= maxAttempts || !retryable[r.Reason] || (p.query.Keyed && !r.Unsent) {
+	if p.crashed || !p.spare(s) || !retryable[r.Reason] || (p.query.Keyed && p.attempts[n].reached) {
 		return false
 	}
 	target, ok := p.other(n, r, now)
@@ -15,12 +15,21 @@
 	kind := Retry
 	if free(r) {
 		kind = Resend
-	} else if !p.world.Retry() {
+	} else if !p.world.Retry(r.Shard) {
 		return false
 	}
 	return p.send(r.Shard, target, kind, now)
 }
 
+// spare reports whether another call may be made for a shard.
+func (p *Planner) spare(s *shard) bool {
+	most := maxSends
+	if p.query.Attempts > 0 {
+		most = p.query.Attempts
+	}
+	return s.attempts < maxSends && s.attempts-s.unsent < most
+}
+
 // free reports whether a call may be repeated without budget: no leaf had it, and no leaf lacked capacity for it.
 func free(r Result) bool {
 	return r.Unsent && r.Reason != reasonOverload
--- a/lib/planner/returned.go
+++ b/lib/planner/returned.go
@@ -16,10 +16,13 @@
 	}
 	a.state = done
 	a.reason = r.Reason
-	a.reached = !r.Unsent
-	a.lost = !r.Unsent && r.Reason != reasonNone && !refused[r.Reason]
+	a.reached = !r.Unsent && !r.NotRun
+	a.lost = a.reached && r.Reason != reasonNone && !refused[r.Reason]
 	s := &p.shards[r.Shard]
 	s.open--
+	if r.Unsent {
+		s.unsent++
+	}
 	p.actions = append(p.actions, Action{Kind: Ended, Call: a.call, Result: r})
 	if r.Reason == reasonNone {
 		p.answered(r, now)
@@ -34,6 +37,7 @@
 	s.answered = true
 	s.body = r.Body
 	s.source = r.Snapshot
+	s.winner = r.Attempt
 	p.settle(r.Shard, reasonNone)
 	if p.waiting {
 		p.query.Canary = false
--- a/lib/replicator/append.go
+++ b/lib/replicator/append.go
@@ -47,6 +47,7 @@
 		r.follow(now, r.state.GetTerm(), "")
 		return
 	}
+	r.heard = now
 	if r.successor != "" && !now.Before(r.abortAt) {
 		r.successor = ""
 	}
--- a/lib/replicator/members.go
+++ b/lib/replicator/members.go
@@ -10,8 +10,9 @@
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
-// maxMembers bounds the group (design, section 6.1).
-const maxMembers = 7
+// maxMembers bounds the group. Design.md, section 6.1, allows seven hosts set aside for control; the rest is room for
+// hosts that replace others.
+const maxMembers = 15
 
 // Errors of member changes; nothing was recorded.
 var (
@@ -101,13 +102,13 @@
 
 // Add adds a host as a learner, or changes the address of a member. The leader learns its incarnation from
 // its first answer and gives it a vote when it has caught up.
-func (r *Replicator) Add(now time.Time, host, address string) error {
+func (r *Replicator) Add(now time.Time, host, address, center string) error {
 	return r.change(now, func(m *statev1.Members) bool {
 		if old := find(m, host); old != nil {
-			old.Address = address
+			old.Address, old.Center = address, center
 			return true
 		}
-		m.Replicas = append(m.Replicas, &statev1.Replica{Host: host, Address: address, Learner: true})
+		m.Replicas = append(m.Replicas, &statev1.Replica{Host: host, Address: address, Center: center, Learner: true})
 		return len(m.GetReplicas()) <= maxMembers
 	})
 }
@@ -118,7 +119,7 @@
 		if find(m, host) == nil {
 			return false
 		}
-		m.Replicas = slices.DeleteFunc(m.Replicas, func(x *statev1.Replica) bool { return x.GetHost() == host })
+		remove(m, host)
 		return slices.ContainsFunc(m.Replicas, func(x *statev1.Replica) bool { return !x.GetLearner() })
 	})
 }
@@ -194,28 +195,66 @@
 }
 
 // maintain makes the next change of members that is due: a host that came back with a new data folder
-// becomes a learner, a learner that has caught up gets a vote.
+// becomes a learner, a learner that has caught up gets a vote, a member that is absent for long is removed.
 func (r *Replicator) maintain(now time.Time) {
 	if r.role != Leader || !r.settled() || r.commit < r.termStart {
 		return
 	}
+	voters := r.voters()
 	for _, m := range r.members().GetReplicas() {
 		p := r.progress[m.GetHost()]
 		if p == nil {
 			continue
 		}
-		edit := func(x *statev1.Replica) { x.Learner = false }
+		host, quiet := m.GetHost(), now.Sub(p.contact)
+		edit := func(next *statev1.Members) { find(next, host).Learner = false }
 		switch {
 		case p.stranger > m.GetIncarnation():
-			edit = func(x *statev1.Replica) { x.Incarnation, x.Learner = p.stranger, true }
-		case !m.GetLearner() || !p.caught || now.Sub(p.contact) >= r.config.Election:
+			edit = func(next *statev1.Members) {
+				x := find(next, host)
+				x.Incarnation, x.Learner = p.stranger, true
+			}
+		case m.GetLearner() && p.caught && quiet < r.config.Election && voters < r.mostVoters():
+		case r.removable(m, quiet, voters):
+			edit = func(next *statev1.Members) { remove(next, host) }
+		default:
 			continue
 		}
 		// The only error is that leadership is being handed over; the next tick tries again.
 		_ = r.change(now, func(next *statev1.Members) bool {
-			edit(find(next, m.GetHost()))
+			edit(next)
 			return true
 		})
 		return
 	}
 }
+
+// removable reports whether a member out of contact is to be removed. The group must not shrink so far that the loss
+// of the disks that it has to bear could take an acknowledged record with it.
+func (r *Replicator) removable(m *statev1.Replica, quiet time.Duration, voters int) bool {
+	if r.config.Absence == 0 || quiet < r.config.Absence {
+		return false
+	}
+	return m.GetLearner() || voters > r.config.Least
+}
+
+func (r *Replicator) voters() int {
+	count := 0
+	for _, m := range r.members().GetReplicas() {
+		if !m.GetLearner() {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *Replicator) mostVoters() int {
+	if r.config.Voters == 0 {
+		return maxMembers
+	}
+	return r.config.Voters
+}
+
+func remove(m *statev1.Members, host string) {
+	m.Replicas = slices.DeleteFunc(m.Replicas, func(x *statev1.Replica) bool { return x.GetHost() == host })
+}
--- a/lib/replicator/replicator.go
+++ b/lib/replicator/replicator.go
@@ -60,6 +60,12 @@
 	Keep uint64
 	// Chunk is the size of a snapshot chunk in bytes; zero means 1 MiB.
 	Chunk int
+	// Voters is the number of voters above which no learner gets a vote; zero means the most members.
+	Voters int
+	// Absence is the time out of contact after which the leader removes a voter, as long as Least voters remain.
+	// Zero keeps every voter.
+	Absence time.Duration
+	Least   int
 	// Seed of the election times.
 	Seed uint64
 	// Violation is told of broken invariants; without it they panic.
--- a/lib/replicator/replicator_test.go
+++ b/lib/replicator/replicator_test.go
@@ -99,11 +99,11 @@
 	switch {
 	case s.nodes["f"] == nil:
 		s.addNode("f")
-		_ = leader.core.Add(s.now, "f", "f")
+		_ = leader.core.Add(s.now, "f", "f", "")
 	case len(s.members.GetReplicas()) > 3:
 		_ = leader.core.Remove(s.now, n.name)
 	default:
-		_ = leader.core.Add(s.now, n.name, n.name)
+		_ = leader.core.Add(s.now, n.name, n.name, "")
 	}
 	s.drain(leader)
 }
--- a/lib/replicator/status.go
+++ b/lib/replicator/status.go
@@ -1,6 +1,10 @@
 package replicator
 
-import statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+import (
+	"time"
+
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
+)
 
 // Status is a copy of a replica's state for reports.
 type Status struct {
@@ -12,12 +16,14 @@
 	Last        uint64
 	Members     *statev1.Members
 	Voter       bool
+	// Heard is when a leader was last heard; on the leader, when it last knew of a majority.
+	Heard time.Time
 }
 
 // Status returns the present state.
 func (r *Replicator) Status() Status {
 	return Status{
 		Role: r.role, Leader: r.leader, Term: r.state.GetTerm(), Incarnation: r.state.GetIncarnation(),
-		Commit: r.commit, Last: r.log.last(), Members: r.members(), Voter: r.voter(),
+		Commit: r.commit, Last: r.log.last(), Members: r.members(), Voter: r.voter(), Heard: r.heard,
 	}
 }
--- /dev/null
+++ b/lib/router/table.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// place identifies a route.
+type place struct {
+	host, prefix string
+}
+
+// Table finds routes in one document. It never changes and is safe for concurrent use.
+type Table struct {
+	document *Document
+	// hosts holds the routes of each host, the longest prefix first.
+	hosts    map[string][]*Route
+	services map[string]*Service
+}
+
+// NewTable returns the table of a document that has been checked.
+func NewTable(d *Document) *Table {
+	t := &Table{document: d, hosts: make(map[string][]*Route), services: make(map[string]*Service, len(d.Services))}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	return t
+}
+
+// Version returns the document's version.
+func (t *Table) Version() uint64 {
+	return t.document.Version
+}
+
+// Document returns the document. It must not be changed.
+func (t *Table) Document() *Document {
+	return t.document
+}
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (*Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Find returns the route of a host whose prefix is the longest that begins the path. A port in host is ignored.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Pick returns the service of a split for a number drawn evenly from 0 to 1.
+func (r *Route) Pick(drawn float64) string {
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	at := drawn * total
+	last := ""
+	for _, s := range r.Split {
+		if s.Weight <= 0 {
+			continue
+		}
+		last = s.Service
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return last
+}
--- a/lib/tracer/recorder.go
+++ b/lib/tracer/recorder.go
@@ -29,11 +29,18 @@
 func New(q planner.Query, world planner.World, options ...planner.Option) *Recorder {
 	r := &Recorder{world: world, received: q.Received}
 	q.Deadline = r.wall(q.Deadline)
+	if !q.Target.IsZero() {
+		q.Target = r.wall(q.Target)
+	}
 	q.Received = r.wall(q.Received)
-	r.lines = []*statev1.TraceLine{{Line: &statev1.TraceLine_Query{Query: &statev1.TraceQuery{
+	line := &statev1.TraceQuery{
 		Identity: q.Identity, Keyed: q.Keyed, Canary: q.Canary, Alone: q.Alone, Least: q.Least,
-		Received: timestamppb.New(q.Received), Deadline: timestamppb.New(q.Deadline),
-	}}}}
+		Received: timestamppb.New(q.Received), Deadline: timestamppb.New(q.Deadline), Attempts: uint32(q.Attempts), //nolint:gosec // A small number.
+	}
+	if !q.Target.IsZero() {
+		line.Target = timestamppb.New(q.Target)
+	}
+	r.lines = []*statev1.TraceLine{{Line: &statev1.TraceLine_Query{Query: line}}}
 	r.plan = planner.New(q, (*recordingWorld)(r), options...)
 	return r
 }
@@ -108,15 +115,15 @@
 func (w *recordingWorld) Primary(n int) { w.world.Primary(n) }
 
 // Hedge asks for the budget of a hedge.
-func (w *recordingWorld) Hedge() bool {
-	ok := w.world.Hedge()
+func (w *recordingWorld) Hedge(shard uint32) bool {
+	ok := w.world.Hedge(shard)
 	w.note(&statev1.TraceAnswer{Question: askHedge, Yes: ok})
 	return ok
 }
 
 // Retry asks for the budget of a retry.
-func (w *recordingWorld) Retry() bool {
-	ok := w.world.Retry()
+func (w *recordingWorld) Retry(shard uint32) bool {
+	ok := w.world.Retry(shard)
 	w.note(&statev1.TraceAnswer{Question: askRetry, Yes: ok})
 	return ok
 }
--- a/lib/tracer/replay.go
+++ b/lib/tracer/replay.go
@@ -59,7 +59,7 @@
 		p.leaves = make(map[string]*cataloguer.Leaf)
 		p.plan = planner.New(planner.Query{
 			Identity: q.GetIdentity(), Keyed: q.GetKeyed(), Canary: q.GetCanary(), Alone: q.GetAlone(), Least: q.GetLeast(),
-			Received: q.GetReceived().AsTime(), Deadline: q.GetDeadline().AsTime(),
+			Received: q.GetReceived().AsTime(), Deadline: q.GetDeadline().AsTime(), Target: target(q), Attempts: int(q.GetAttempts()),
 		}, p, planner.WithViolation(func(invariant, text string) { p.violations = append(p.violations, invariant+": "+text) }))
 		return nil
 	}
@@ -140,7 +140,15 @@
 func (p *replay) Primary(int) {}
 
 // Hedge returns the recorded answer.
-func (p *replay) Hedge() bool { return p.take(askHedge).GetYes() }
+func (p *replay) Hedge(uint32) bool { return p.take(askHedge).GetYes() }
 
 // Retry returns the recorded answer.
-func (p *replay) Retry() bool { return p.take(askRetry).GetYes() }
+func (p *replay) Retry(uint32) bool { return p.take(askRetry).GetYes() }
+
+// target returns the zero time when the query had no target.
+func target(q *statev1.TraceQuery) time.Time {
+	if q.GetTarget() == nil {
+		return time.Time{}
+	}
+	return q.GetTarget().AsTime()
+}
