--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -85,7 +85,7 @@
 	defer r.mu.Unlock()
 	old := r.leaves[l.Name]
 	if old != nil {
-		if verdict := compare(l, old.leaf); verdict != Changed {
+		if verdict := compare(l, old.leaf, now); verdict != Changed {
 			if verdict == Same {
 				r.hear(old, l, now)
 			}
@@ -100,7 +100,7 @@
 }
 
 // compare says what a record adds to the known one of the same leaf.
-func compare(l, old *Leaf) Verdict {
+func compare(l, old *Leaf, now time.Time) Verdict {
 	switch {
 	case l.Born < old.Born:
 		return Stale
@@ -114,7 +114,7 @@
 		return Changed
 	case l.Sequence <= old.Sequence:
 		return Stale
-	case l.Slots != old.Slots || l.Program != old.Program || coldness(l, old):
+	case l.Slots != old.Slots || l.Program != old.Program || coldness(l, old, now):
 		return Changed
 	}
 	return Same
@@ -124,8 +124,9 @@
 const coldTolerance = 300 * time.Millisecond
 
 // coldness reports whether a record says something new on when the leaf will be warm.
-func coldness(l, old *Leaf) bool {
-	return l.ColdUntil.Sub(old.ColdUntil).Abs() > coldTolerance
+func coldness(l, old *Leaf, now time.Time) bool {
+	next, before := max(0, l.ColdUntil.Sub(now)), max(0, old.ColdUntil.Sub(now))
+	return (next - before).Abs() > coldTolerance
 }
 
 // claim takes the leaf's address from an older incarnation, and reports false when a newer one has it.
