--- a/controld/replica/dialer.go
+++ b/controld/replica/dialer.go
@@ -33,7 +33,7 @@
 type line struct {
 	address string
 	conn    *grpc.ClientConn
-	slot chan struct{}
+	slot    chan struct{}
 }
 
 // dialer holds one connection per address. It is safe for concurrent use.
--- a/fleetd/receiver/receiver.go
+++ b/fleetd/receiver/receiver.go
@@ -32,7 +32,6 @@
 
 // Receiver serves one address. It is safe for concurrent use.
 type Receiver struct {
-	handler  http.Handler
 	idle     func() time.Duration
 	grace    time.Duration
 	clock    func() time.Time
--- a/lib/checker/checker_test.go
+++ b/lib/checker/checker_test.go
@@ -64,7 +64,7 @@
 func TestSettingsPageMatchesTheSchemas(t *testing.T) {
 	var b strings.Builder
 	b.WriteString("# Settings\n\nMade from the schemas: `go test ./lib/checker -update`. Durations are a number with a unit, such as 500ms.\n")
-	for _, s := range []checker.Schema{checker.Entry, checker.Control, checker.Configuration} {
+	for _, s := range []checker.Schema{checker.Entry, checker.Control, checker.Configuration, checker.Fleet} {
 		keys, err := checker.Keys(s)
 		qt.Assert(t, err, qt.IsNil)
 		fmt.Fprintf(&b, "\n## %s\n\n| key | type | required | default | permitted | meaning |\n|---|---|---|---|---|---|\n", s)
--- a/lib/planner/action.go
+++ b/lib/planner/action.go
@@ -83,7 +83,7 @@
 	Shard uint32
 	// Attempt is the call that was answered.
 	Attempt string
-	Body  []byte
+	Body    []byte
 }
 
 // Reply is how the query ended.
