Serve sooner after the loss of all hosts

Cause: after power_off_all entry hosts waited for a configuration until a leader was elected (500 to 1,000 ms) and its commit index was known, for heartbeats of leaves (up to 1.2 s), and for connections to hosts without power (1 s). Change: the commit index is kept with the records, so that a control host shows at once what it knows to be committed; the first election comes after a third of the election time (pre-vote protects a leader that exists); the roster is kept in a file; attempts to connect last 250 to 300 ms and entry hosts turn to a second control host after 150 ms; refused callers are told to come back after 500 ms. Removal of absent voters has its random tests.

--- a/controld/replica/dialer.go
+++ b/controld/replica/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	messageTimeout = time.Second
 	// connectTimeout bounds the wait for a connection on which to forward a command.
 	connectTimeout = 200 * time.Millisecond
+	// openTimeout bounds one attempt to open a connection. A host without power answers nothing, and the first packet
+	// would be sent again only after a second, when the host may have been back for long.
+	openTimeout = 250 * time.Millisecond
 	// inTransit bounds the messages to one host that are not answered yet; more are dropped, as a network may.
 	inTransit = 32
 	// keepaliveTime is the silence after which a connection with calls in progress is probed.
@@ -47,6 +51,9 @@
 	base := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: redial, MinConnectTimeout: time.Second}),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{Timeout: openTimeout}).DialContext(ctx, "tcp", address)
+		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveAnswer}),
 	}
 	return &dialer{options: append(base, options...), lines: make(map[string]*line)}
--- a/controld/replica/replica.go
+++ b/controld/replica/replica.go
@@ -182,7 +182,7 @@
 	r.core = replicator.New(replicator.Config{
 		Host: r.config.Host, Election: r.config.Election, Heartbeat: r.config.Heartbeat, Keep: r.config.Compact / keepShare,
 		Seed: r.config.Seed, Violation: r.violated, Voters: r.config.Voters, Absence: r.config.Absence, Least: r.config.Least,
-	}, replicator.Durable{State: content.State, Snapshot: content.Snapshot, Records: content.Records}, now)
+	}, replicator.Durable{State: content.State, Snapshot: content.Snapshot, Records: content.Records, Commit: content.Commit}, now)
 	eventer.LogOpened.Log(now, "incarnation", content.State.GetIncarnation(), "term", content.State.GetTerm(),
 		"snapshot", content.Snapshot.GetIndex(), "records", len(content.Records))
 	return content, nil
@@ -328,7 +328,7 @@
 			return err
 		}
 	}
-	return r.journal.Append(ready.Records)
+	return r.journal.Append(ready.Records, ready.Commit)
 }
 
 // apply gives a committed record to the machine and its result to whoever waits for it.
--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -36,8 +36,11 @@
 	// latency within seconds.
 	estimateWindow  = 1024
 	estimateRefresh = 32
-	// retryWait is the wait that a refused caller is told.
+	// retryWait is the wait that a refused caller is told: leaves that shed have room again after some calls.
 	retryWait = 100 * time.Millisecond
+	// startWait is the wait that a caller is told while this host knows too little: after the loss of all hosts the
+	// control hosts need about a second.
+	startWait = 500 * time.Millisecond
 )
 
 // Answerer answers requests on one entry host. It is safe for concurrent use.
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -68,7 +68,7 @@
 // answer finds the route and runs the planner.
 func (q *query) answer(ctx context.Context) *carrier.Reply {
 	if q.view.Table == nil {
-		return &carrier.Reply{Outcome: carrier.Refused, Wait: retryWait, Reason: "this host has no configuration yet"}
+		return &carrier.Reply{Outcome: carrier.Refused, Wait: startWait, Reason: "this host has no configuration yet"}
 	}
 	route, ok := q.view.Table.Find(q.request.Host, q.request.Path)
 	if !ok {
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"lycheelift.example/fleetd/linker"
@@ -14,6 +15,8 @@
 const (
 	// retryInterval is the wait after no control host could be followed.
 	retryInterval = 100 * time.Millisecond
+	// headStart is how much earlier a candidate is turned to than the next one.
+	headStart = 150 * time.Millisecond
 	// unsettledTime is how long an entry host stays with a control host that is not in contact with a leader, before
 	// it looks for another.
 	unsettledTime = 300 * time.Millisecond
@@ -45,14 +48,7 @@
 // Run follows control hosts until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		for _, address := range c.candidates() {
-			err := c.follow(ctx, address)
-			if ctx.Err() != nil {
-				return
-			}
-			eventer.ControlLost.Log(c.clock(), "control", address, "version", c.follower.View().Version(),
-				"stale", c.follower.View().Age(c.clock()), "error", err.Error())
-		}
+		c.race(ctx, c.candidates())
 		select {
 		case <-ctx.Done():
 		case <-time.After(retryInterval):
@@ -60,6 +56,46 @@
 	}
 }
 
+// race turns to the candidates in their order, each a little later than the one before, and follows the first that
+// answers. It returns when that one is lost or when none answers.
+func (c *Client) race(ctx context.Context, candidates []string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var winner atomic.Int32
+	ended := make(chan struct{}, len(candidates))
+	started := 0
+	start := func() {
+		number, address := int32(started+1), candidates[started] //nolint:gosec // A few candidates.
+		started++
+		go func() {
+			claim := func() bool { return winner.CompareAndSwap(0, number) || winner.Load() == number }
+			err := c.follow(ctx, address, claim)
+			if winner.Load() == number {
+				cancel()
+			}
+			if !errors.Is(err, linker.ErrDone) && !errors.Is(err, context.Canceled) {
+				eventer.ControlLost.Log(c.clock(), "control", address, "version", c.follower.View().Version(),
+					"stale", c.follower.View().Age(c.clock()), "error", err.Error())
+			}
+			ended <- struct{}{}
+		}()
+	}
+	running := 0
+	for started < len(candidates) || running > 0 {
+		if started < len(candidates) && winner.Load() == 0 && ctx.Err() == nil {
+			start()
+			running++
+		} else if running == 0 {
+			return
+		}
+		select {
+		case <-ended:
+			running--
+		case <-time.After(headStart):
+		}
+	}
+}
+
 // candidates lists the control hosts, those of the own data centre first. Hosts of one data centre begin at different
 // ones of the others.
 func (c *Client) candidates() []string {
@@ -98,10 +134,14 @@
 }
 
 // follow follows one control host until it goes silent or loses its leader.
-func (c *Client) follow(ctx context.Context, address string) error {
+// Claim reports whether this stream is the one to follow; it is asked at each message.
+func (c *Client) follow(ctx context.Context, address string, claim func() bool) error {
 	request := &peerv1.FollowRequest{Host: c.host, Center: c.center, Version: c.follower.View().Version()}
 	settled, first := c.clock(), true
 	return linker.Follow(ctx, address, request, func(m *peerv1.FollowResponse) error {
+		if !claim() {
+			return linker.ErrDone
+		}
 		now := c.clock()
 		c.follower.Take(m, now)
 		if k := m.GetControls(); len(k) > 0 {
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -15,6 +15,7 @@
 	"lycheelift.example/controld/store"
 	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/journaler"
 	"lycheelift.example/lib/router"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
@@ -171,10 +172,16 @@
 	return netip.AddrPort{}
 }
 
-// Run drops leaves that are not heard until ctx ends.
-func (k *Keeper) Run(ctx context.Context) {
+// Run drops leaves that are not heard, and keeps the roster in a folder, until ctx ends.
+func (k *Keeper) Run(ctx context.Context, folder journaler.FileSystem) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	known, err := k.roster.Load(folder, k.clock())
+	if err != nil {
+		eventer.RosterUnread.Log(k.clock(), "error", err.Error())
+	}
+	eventer.RosterRead.Log(k.clock(), "leaves", known)
+	saved := k.roster.Since(0, false).Revision
 	for {
 		select {
 		case <-ctx.Done():
@@ -185,5 +192,19 @@
 		for _, l := range k.roster.Expire(now) {
 			eventer.LeafForgotten.Log(now, "leaf", l.Name, "born", l.Born, "service", l.Service, "leaving", l.Leaving)
 		}
+		saved = k.save(folder, saved)
+	}
+}
+
+// save writes the roster if it has changed after a revision, and returns the revision written.
+func (k *Keeper) save(folder journaler.FileSystem, saved uint64) uint64 {
+	batch := k.roster.Since(saved, false)
+	if len(batch.Leaves) == 0 {
+		return saved
+	}
+	if err := k.roster.Save(folder); err != nil {
+		eventer.RosterUnsaved.Log(k.clock(), "error", err.Error())
+		return saved
 	}
+	return batch.Revision
 }
--- a/fleetd/linker/linker.go
+++ b/fleetd/linker/linker.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"time"
 
 	"github.com/samber/oops"
@@ -18,6 +19,8 @@
 	Interval = 400 * time.Millisecond
 	// Silence is the time without a message after which a stream is given up: three signs of life may be late or lost.
 	Silence = 1500 * time.Millisecond
+	// openTimeout bounds one attempt to open a connection.
+	openTimeout = 300 * time.Millisecond
 	// window is the flow control window of a stream and of its connection, in bytes.
 	window = 64 << 10
 	// buffer is the size of a connection's read buffer and of its write buffer, in bytes.
@@ -37,7 +40,7 @@
 // Options returns the options of connections and of servers, which keep their buffers small: memory has a price.
 func Options() ([]grpc.DialOption, []grpc.ServerOption) {
 	dial := []grpc.DialOption{
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(open), grpc.WithInitialWindowSize(window), grpc.WithInitialConnWindowSize(window),
 		grpc.WithReadBufferSize(buffer), grpc.WithWriteBufferSize(buffer), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)),
 	}
 	serve := []grpc.ServerOption{
@@ -47,6 +50,12 @@
 	return dial, serve
 }
 
+// open opens a connection. A host without power answers nothing, and the first packet would be sent again only after a
+// second.
+func open(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: openTimeout}).DialContext(ctx, "tcp", address)
+}
+
 // Follow opens a stream to a control host and gives each message to receive, until the stream ends, goes silent or
 // receive returns an error.
 func Follow(ctx context.Context, address string, request *peerv1.FollowRequest, receive func(*peerv1.FollowResponse) error) error {
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -18,6 +18,7 @@
 	"lycheelift.example/fleetd/linker"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
+	"lycheelift.example/lib/journaler"
 	"lycheelift.example/platform"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
@@ -39,6 +40,8 @@
 	handOverTime = 1500 * time.Millisecond
 	// logFolder is the part of the data folder that holds the replicated log.
 	logFolder = "log"
+	// rosterFolder is the part that holds the leaves heard before a restart.
+	rosterFolder = "roster"
 )
 
 // Control serves a control host until ctx ends.
@@ -54,11 +57,16 @@
 	if err != nil {
 		return err
 	}
+	folder, err := journaler.OpenFolder(filepath.Join(s.Data, rosterFolder))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = folder.Close() }()
 	running, stop := context.WithCancel(context.Background())
 	logged := make(chan error, 1)
 	go func() { logged <- log.Run(running) }()
 	keep := keeper.New(s.Name, s.Center, control, s.peers.String(), store.New(machine, proposer{log}, clock), log, clock)
-	go keep.Run(running)
+	go keep.Run(running, folder)
 	go keep.FollowPeers(running, s.controls)
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
 	err = serveControl(ctx, s, log, keep, clock)
--- a/lib/enroller/enroller_test.go
+++ b/lib/enroller/enroller_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lycheelift.example/lib/enroller"
+	"lycheelift.example/lib/journaler"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
@@ -102,6 +103,35 @@
 	qt.Assert(t, r.Put(leaf("silent", 10, 2, "10.0.0.1:80"), start.Add(enroller.Silence)), qt.Equals, enroller.Changed)
 }
 
+// Load: every host is killed at one moment. Guards against a control host that has to wait for a heartbeat of each leaf
+// after its restart, and against one that does not start because the file is damaged.
+func TestRosterSurvivesARestart(t *testing.T) {
+	folder, err := journaler.OpenFolder(t.TempDir())
+	qt.Assert(t, err, qt.IsNil)
+	r := enroller.New()
+	r.Put(leaf("x", 10, 7, "10.0.0.1:80"), start)
+	r.Put(leaf("y", 11, 1, "10.0.0.2:80"), start)
+	r.Leave("y", 11, start)
+	qt.Assert(t, r.Save(folder), qt.IsNil)
+
+	other := enroller.New()
+	count, err := other.Load(folder, start)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, count, qt.Equals, 2)
+	qt.Assert(t, known(t, other, "x").Leaving, qt.IsFalse)
+	qt.Assert(t, known(t, other, "y").Leaving, qt.IsTrue)
+	qt.Assert(t, other.Put(leaf("x", 10, 8, "10.0.0.1:80"), start), qt.Equals, enroller.Same)
+
+	file, err := folder.Create("roster")
+	qt.Assert(t, err, qt.IsNil)
+	_, err = file.Write([]byte("damaged"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, file.Close(), qt.IsNil)
+	count, err = enroller.New().Load(folder, start)
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, count, qt.Equals, 0)
+}
+
 // Guards against a departure that a restart of all control hosts forgets.
 func TestDeparturesSurviveASnapshot(t *testing.T) {
 	d := enroller.NewDepartures()
--- a/lib/eventer/member.go
+++ b/lib/eventer/member.go
@@ -20,5 +20,8 @@
 	ControlLost      = define(3016, Warning, "control host is not followed any more")
 	FollowerJoined   = define(3017, Info, "host follows this control host")
 	FollowerLeft     = define(3018, Info, "host follows this control host no more")
+	RosterRead       = define(3020, Info, "leaves known from before the start")
+	RosterUnread     = define(3021, Warning, "the leaves known before the start cannot be read")
+	RosterUnsaved    = define(3022, Warning, "the roster of leaves cannot be written")
 	LeafContradicted = define(3019, Warning, "heartbeat contradicts the leaf's earlier ones and was ignored")
 )
--- a/lib/journaler/journaler.go
+++ b/lib/journaler/journaler.go
@@ -43,6 +43,8 @@
 	State    *statev1.HardState
 	Snapshot *statev1.Snapshot // nil without a snapshot
 	Records  []*statev1.Record // the records after the snapshot
+	// Commit is the highest index that is known to be committed.
+	Commit uint64
 	// Cut is the number of bytes of a torn tail that were removed.
 	Cut int64
 }
@@ -173,6 +175,7 @@
 		if err := proto.Unmarshal(payload, batch); err != nil {
 			return &DamageError{File: name, Offset: int64(offset), Text: err.Error()}
 		}
+		c.Commit = max(c.Commit, batch.GetCommit())
 		for _, r := range batch.GetRecords() {
 			if err := c.add(r); err != nil {
 				return &DamageError{File: name, Offset: int64(offset), Text: err.Error()}
--- a/lib/journaler/journaler_test.go
+++ b/lib/journaler/journaler_test.go
@@ -75,7 +75,7 @@
 		batch = append(batch, &statev1.Record{Index: first + i, Term: term})
 	}
 	m.records = append(m.records, batch...)
-	return m, func(j *journaler.Journal) error { return j.Append(batch) }
+	return m, func(j *journaler.Journal) error { return j.Append(batch, 0) }
 }
 
 // Guards against the loss of anything acknowledged, and against more than the operation in progress appearing, when
@@ -101,7 +101,7 @@
 					m = next
 					continue
 				}
-				if !errors.Is(err, errDisk) || !errors.Is(j.Append([]*statev1.Record{{Index: 1}}), journaler.ErrFailed) {
+				if !errors.Is(err, errDisk) || !errors.Is(j.Append([]*statev1.Record{{Index: 1}}, 0), journaler.ErrFailed) {
 					t.Fatalf("the journal goes on after %v", err)
 				}
 				d.crash(func(n int) int { return rapid.IntRange(0, n).Draw(t, "torn") }, rapid.Bool().Draw(t, "keepNames"))
@@ -114,13 +114,30 @@
 	})
 }
 
+// Guards against a commit index that is lost with a restart, and against one that is taken from a torn frame.
+func TestCommitIndexIsKept(t *testing.T) {
+	d := newDisk()
+	j, _, err := journaler.Open(d)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, j.Append([]*statev1.Record{{Index: 1, Term: 1}, {Index: 2, Term: 1}}, 1), qt.IsNil)
+	qt.Assert(t, j.Append([]*statev1.Record{{Index: 3, Term: 1}}, 2), qt.IsNil)
+	_, c, err := journaler.Open(d)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.Commit, qt.Equals, uint64(2))
+	names, _ := d.List()
+	d.names[names[0]].data = d.names[names[0]].data[:len(d.names[names[0]].data)-1]
+	_, c, err = journaler.Open(d)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.Commit, qt.Equals, uint64(1))
+}
+
 // Guards against a start on a log that lost acknowledged records in the middle.
 func TestDamageInTheMiddleIsRefused(t *testing.T) {
 	d := newDisk()
 	j, _, err := journaler.Open(d)
 	qt.Assert(t, err, qt.IsNil)
 	for index := range uint64(3) {
-		qt.Assert(t, j.Append([]*statev1.Record{{Index: index + 1, Term: 1}}), qt.IsNil)
+		qt.Assert(t, j.Append([]*statev1.Record{{Index: index + 1, Term: 1}}, 0), qt.IsNil)
 	}
 	names, _ := d.List()
 	data := d.names[names[0]].data
@@ -168,9 +185,9 @@
 	qt.Assert(t, err, qt.ErrorIs, journaler.ErrLocked)
 	j, _, err := journaler.Open(f)
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, j.Append([]*statev1.Record{{Index: 1, Term: 1}}), qt.IsNil)
+	qt.Assert(t, j.Append([]*statev1.Record{{Index: 1, Term: 1}}, 0), qt.IsNil)
 	qt.Assert(t, j.Compact(&statev1.Snapshot{Index: 1, Term: 1}), qt.IsNil)
-	qt.Assert(t, j.Append([]*statev1.Record{{Index: 2, Term: 1}}), qt.IsNil)
+	qt.Assert(t, j.Append([]*statev1.Record{{Index: 2, Term: 1}}, 0), qt.IsNil)
 	qt.Assert(t, j.Close(), qt.IsNil)
 	qt.Assert(t, f.Close(), qt.IsNil)
 	f, err = journaler.OpenFolder(path)
--- a/lib/journaler/write.go
+++ b/lib/journaler/write.go
@@ -60,22 +60,22 @@
 	return file.Sync()
 }
 
-// Append makes records durable with one sync. A first record whose index is not beyond the newest one
-// replaces all records from that index on.
-func (j *Journal) Append(records []*statev1.Record) error {
+// Append makes records durable with one sync, together with the index up to which the log is known to be committed. A
+// first record whose index is not beyond the newest one replaces all records from that index on.
+func (j *Journal) Append(records []*statev1.Record, commit uint64) error {
 	if len(records) == 0 {
 		return j.failed
 	}
-	return j.guard(func() error { return j.append(records) })
+	return j.guard(func() error { return j.append(records, commit) })
 }
 
-func (j *Journal) append(records []*statev1.Record) error {
+func (j *Journal) append(records []*statev1.Record, commit uint64) error {
 	if j.file == nil || j.size >= segmentSize {
 		if err := j.rotate(); err != nil {
 			return err
 		}
 	}
-	payload, err := proto.Marshal(&statev1.Batch{Records: records})
+	payload, err := proto.Marshal(&statev1.Batch{Records: records, Commit: commit})
 	if err != nil {
 		return oops.Wrap(err)
 	}
--- a/lib/replicator/replicator.go
+++ b/lib/replicator/replicator.go
@@ -42,6 +42,8 @@
 	// batchCount and batchSize (bytes) bound one append request.
 	batchCount = 1024
 	batchSize  = 1 << 20
+	// firstElection divides the election time of a replica that has heard no leader since its start.
+	firstElection = 3
 	// defaultChunk is the size of a snapshot chunk in bytes; it stays below gRPC's message limit of 4 MiB.
 	defaultChunk = 1 << 20
 )
@@ -77,6 +79,8 @@
 	State    *statev1.HardState
 	Snapshot *statev1.Snapshot // nil without a snapshot
 	Records  []*statev1.Record // the records after the snapshot
+	// Commit is the highest index that is known to be committed; it may lie before the end of the records.
+	Commit uint64
 }
 
 // Ready is the work that a step left for the runtime. It must send Early, persist State, Snapshot and
@@ -90,6 +94,8 @@
 	Snapshot *statev1.Snapshot
 	// Records are to be appended; they replace existing records with the same and higher indexes.
 	Records []*statev1.Record
+	// Commit is the index up to which the log is known to be committed.
+	Commit uint64
 	// Messages may be sent only when the rest is durable.
 	Messages []Message
 	// Committed records are to be applied in order.
@@ -165,6 +171,7 @@
 		r.add(record)
 	}
 	r.handed, r.persisted = r.log.last(), r.log.last()
+	r.commit = max(r.commit, min(d.Commit, r.log.last()))
 	r.resetElection(now)
 	if r.voter() && r.quorum(func(host string) bool { return host == c.Host }) {
 		r.electionAt = now // The only voter has no other leader to wait for.
@@ -302,8 +309,15 @@
 	r.resetElection(now)
 }
 
+// resetElection draws the time of the next election. A replica that has heard no leader since its start waits for a
+// part of the election time only: after the loss of all hosts there is no leader to be disturbed, and one that exists
+// is protected by the pre-vote.
 func (r *Replicator) resetElection(now time.Time) {
-	r.electionAt = now.Add(r.config.Election + time.Duration(r.random.Int64N(int64(r.config.Election))))
+	least := r.config.Election
+	if r.heard.IsZero() {
+		least /= firstElection
+	}
+	r.electionAt = now.Add(least + time.Duration(r.random.Int64N(int64(least))))
 }
 
 // send queues a message until the state is durable.
@@ -336,7 +350,7 @@
 
 // Ready returns the work that is to be done, and false when there is none.
 func (r *Replicator) Ready() (Ready, bool) {
-	out := Ready{Early: r.early, Messages: r.messages, Snapshot: r.received, Reads: r.confirm}
+	out := Ready{Early: r.early, Messages: r.messages, Snapshot: r.received, Reads: r.confirm, Commit: r.commit}
 	if r.stateDirty {
 		out.State = proto.Clone(r.state).(*statev1.HardState)
 		// The early messages speak for a term that is not durable yet.
--- a/lib/replicator/replicator_test.go
+++ b/lib/replicator/replicator_test.go
@@ -108,6 +108,97 @@
 	s.drain(leader)
 }
 
+// removing makes a group remove hosts that are absent, down to a number of voters.
+func removing(least int) func(*sim) {
+	return func(s *sim) { s.absence, s.least = 5*election, least }
+}
+
+// Guards against what TestRandomFaults guards against when absent hosts are removed and seek the group when they are
+// back.
+func TestRandomFaultsWithRemovals(t *testing.T) {
+	for seed := range seeds(30, 1000) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(t, uint64(seed), 3+seed%3, removing(3))
+			s.run(time.Second)
+			for range 40 {
+				s.fault()
+				for range 1 + s.random.IntN(6) {
+					s.propose()
+					s.run(time.Duration(s.random.Int64N(int64(200 * time.Millisecond))))
+					s.seek()
+				}
+			}
+			s.settle()
+		})
+	}
+}
+
+// Guards against hosts that are gone for good and count as voters for ever: after three replacements one by one, the
+// group must still bear the loss of a host.
+func TestHostsGoneForGoodAreReplaced(t *testing.T) {
+	s := newSim(t, 1, 4, removing(3))
+	s.run(time.Second)
+	for i, gone := range []string{"a", "b", "c"} {
+		s.nodes[gone].core = nil
+		s.addNode(string(rune('k' + i)))
+		for range 100 {
+			s.run(10 * heartbeat)
+			s.seek()
+		}
+		qt.Assert(t, s.whole(), qt.IsTrue)
+		qt.Assert(t, s.members.GetReplicas(), qt.HasLen, 4)
+	}
+	s.nodes["d"].core = nil
+	s.run(20 * election)
+	before := s.ackedTop
+	s.propose()
+	s.run(time.Second)
+	qt.Assert(t, s.ackedTop > before, qt.IsTrue)
+}
+
+// Guards against a group that shrinks so far that the loss of the disks that it has to bear takes an acknowledged
+// record with it.
+func TestAbsentHostsAreKeptBelowTheLeastNumber(t *testing.T) {
+	s := newSim(t, 1, 5, removing(5))
+	s.run(time.Second)
+	s.nodes["a"].core, s.nodes["b"].core = nil, nil
+	s.run(50 * election)
+	qt.Assert(t, s.members.GetReplicas(), qt.HasLen, 5)
+}
+
+// Load: every host is killed at one moment or loses power. Guards against a group that waits for a whole election
+// time, although no leader can exist, and against a host that shows nothing of what it knows to be committed until
+// there is a leader.
+func TestGroupThatLostAllHostsIsBackSoon(t *testing.T) {
+	soon, count := 0, seeds(20, 1000)
+	for seed := range count {
+		s := newSim(t, uint64(seed), 4)
+		s.run(time.Second)
+		for range 20 {
+			s.propose()
+			s.run(5 * time.Millisecond)
+		}
+		for _, name := range s.names {
+			s.nodes[name].core = nil
+		}
+		s.network = nil
+		for _, name := range s.names {
+			s.start(s.nodes[name])
+			s.drain(s.nodes[name])
+			qt.Assert(t, len(s.nodes[name].state) >= 10, qt.IsTrue, qt.Commentf("%s knows %v", name, s.nodes[name].state))
+		}
+		s.run(election)
+		if s.leader() != nil {
+			soon++
+		}
+		s.run(2 * election)
+		qt.Assert(t, s.leader(), qt.IsNotNil, qt.Commentf("seed %d", seed))
+	}
+	// Candidates that begin at the same moment split the votes now and then.
+	qt.Assert(t, soon*10 >= count*9, qt.IsTrue, qt.Commentf("%d of %d", soon, count))
+}
+
 // Guards against data loss when a second host loses its disk right after the repair of the first, and against
 // a vote of the first before it was promoted.
 func TestSecondDiskLostAfterRepair(t *testing.T) {
--- a/lib/replicator/sim_test.go
+++ b/lib/replicator/sim_test.go
@@ -49,6 +49,9 @@
 	loss    float64            // of messages, and half of it doubled
 	crash   float64            // chance to crash at a sync
 	births  uint64
+	// absence and least are the replicator's; hosts that do not belong to the group seek it when absence is set.
+	absence time.Duration
+	least   int
 
 	leaders   map[uint64]string
 	committed []*statev1.Record
@@ -59,11 +62,14 @@
 	counter   int
 }
 
-func newSim(t *testing.T, seed uint64, count int) *sim {
+func newSim(t *testing.T, seed uint64, count int, options ...func(*sim)) *sim {
 	s := &sim{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), nodes: map[string]*node{}, cut: map[[2]string]bool{},
 		leaders: map[uint64]string{}, acked: map[string]uint64{}, reads: map[uint64]uint64{},
 	}
+	for _, o := range options {
+		o(s)
+	}
 	first := &statev1.Members{}
 	for i := range count {
 		n := s.addNode(string(rune('a' + i)))
@@ -92,6 +98,7 @@
 func (s *sim) start(n *node) {
 	n.core = replicator.New(replicator.Config{
 		Host: n.name, Election: election, Heartbeat: heartbeat, Keep: 4, Chunk: 40, Seed: s.random.Uint64(),
+		Absence: s.absence, Least: s.least,
 	}, n.disk, s.now)
 	n.acks, n.terms = map[uint64]string{}, map[uint64]uint64{}
 	n.restore(s, n.disk.Snapshot)
@@ -156,6 +163,24 @@
 		n.disk.Records = slices.DeleteFunc(n.disk.Records, func(x *statev1.Record) bool { return x.GetIndex() >= r.GetIndex() })
 		n.disk.Records = append(n.disk.Records, r)
 	}
+	if len(ready.Records) > 0 {
+		n.disk.Commit = ready.Commit
+	}
+}
+
+// seek lets the running hosts that do not belong to the group ask its leader to add them.
+func (s *sim) seek() {
+	leader := s.leader()
+	if s.absence == 0 || leader == nil {
+		return
+	}
+	for _, name := range s.names {
+		member := slices.ContainsFunc(s.members.GetReplicas(), func(m *statev1.Replica) bool { return m.GetHost() == name })
+		if !member && s.nodes[name].core != nil && !s.cut[[2]string{name, leader.name}] {
+			_ = leader.core.Add(s.now, name, name, "")
+			s.drain(leader)
+		}
+	}
 }
 
 // apply checks that every host applies the same record at each index, each index once and in order.
@@ -316,6 +341,7 @@
 	s.heal()
 	for range 200 {
 		s.run(10 * heartbeat)
+		s.seek()
 		if s.leader() != nil && s.whole() {
 			break
 		}
