End hopeless queries at once, and leave callers of a cut-off host to others

Cause: with a data centre cut off, shards whose leaves are elsewhere cannot be reached; queries were held to the deadline (1.3 s) although the least coverage was lost, and the host went on to take connections. Change: the planner ends a query when too many shards are missing for good; leaves that could not be reached three times in a row are not called before their time; a host that is out of contact with control for 1 s and fails 30% of its requests for want of leaves is not ready and closes its connections after each answer.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -11,6 +11,7 @@
 	tally "github.com/uber-go/tally/v4"
 
 	"lycheelift.example/fleetd/follower"
+	"lycheelift.example/fleetd/gauger"
 	"lycheelift.example/lib/budgeter"
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/estimator"
@@ -58,6 +59,8 @@
 	budget   *budgeter.Window
 	random   func() float64
 	metrics  *metrics
+	gauge    *gauger.Gauger
+	cut      atomic.Bool
 }
 
 // Bounds are limits that hold over all entry hosts together.
@@ -95,7 +98,7 @@
 		selector: selector.New(),
 		estimate: estimator.New(estimator.WithPercentile(percentile), estimator.WithWindow(estimateWindow, estimateRefresh)),
 		budget:   budgeter.NewWindow(bounds.Window, budgetShare*bounds.Ratio),
-		random:   rand.Float64, metrics: newMetrics(tally.NoopScope),
+		random:   rand.Float64, metrics: newMetrics(tally.NoopScope), gauge: gauger.New(),
 	}
 	for _, o := range options {
 		o(a)
@@ -103,6 +106,20 @@
 	return a
 }
 
+// CutOff reports whether this host should get no new connections, because it is cut off and cannot answer.
+func (a *Answerer) CutOff(now time.Time) bool {
+	age := a.viewer.View().Age(now)
+	cut := a.gauge.CutOff(age, now)
+	if a.cut.Swap(cut) != cut {
+		event := eventer.HostBack
+		if cut {
+			event = eventer.HostCutOff
+		}
+		event.Log(now, "host", a.host, "stale", age)
+	}
+	return cut
+}
+
 // Answer answers one request. The context ends when the caller no longer waits.
 func (a *Answerer) Answer(ctx context.Context, r *carrier.Request) *carrier.Reply {
 	view := a.viewer.View()
@@ -117,6 +134,7 @@
 	now := a.clock()
 	took := now.Sub(q.request.Received)
 	a.metrics.count(reply.Outcome, took)
+	a.gauge.Note(q.unreachable, now)
 	event := eventer.RequestEnded
 	if reply.Outcome != carrier.Answered && reply.Outcome != carrier.Gathered {
 		event = eventer.RequestFailed
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -40,6 +40,8 @@
 	// response is the last response of a leaf that is not usable but may be passed on.
 	response *carrier.Answer
 	skipped  int
+	// unreachable is set when the request failed for want of reachable leaves.
+	unreachable bool
 
 	calls, hedges, retries int
 }
@@ -182,8 +184,10 @@
 		}
 		return &carrier.Reply{Outcome: carrier.Answered, Answer: q.answers[p.Parts[0].Attempt]}
 	case callerv1.Outcome_OUTCOME_REFUSED:
+		q.unreachable = p.Reason == callerv1.Reason_REASON_COVERAGE || p.Reason == reasonNoReplica
 		return &carrier.Reply{Outcome: carrier.Refused, Wait: retryWait, Reason: p.Reason.String()}
 	}
+	q.unreachable = p.Reason == callerv1.Reason_REASON_COVERAGE || p.Reason == reasonNoReplica
 	if q.response != nil && len(q.route.Gather) == 0 {
 		return &carrier.Reply{Outcome: carrier.Answered, Answer: q.response, Reason: p.Reason.String()}
 	}
--- /dev/null
+++ b/fleetd/gauger/gauger.go
@@ -0,0 +1,79 @@
+// Package gauger decides whether an entry host should get new connections: a host that is cut off and cannot answer
+// leaves its callers to hosts that can.
+package gauger
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// staleTime is the time without contact to a settled control host after which a host may be cut off.
+	staleTime = time.Second
+	// span is the time over which requests are counted, in steps.
+	span  = time.Second
+	steps = 10
+	// failingShare is the share of requests without enough reachable leaves from which on a host that may be cut off
+	// counts as such, and leastRequests the number of requests that the share needs.
+	failingShare  = 0.3
+	leastRequests = 4
+)
+
+// Gauger counts the requests of one host. It is safe for concurrent use.
+type Gauger struct {
+	mu       sync.Mutex
+	number   [steps]int64
+	requests [steps]int
+	failed   [steps]int
+	cut      bool
+}
+
+// New returns a gauger without requests.
+func New() *Gauger {
+	return &Gauger{}
+}
+
+// Note counts one request; unreachable says that it failed for want of reachable leaves.
+func (g *Gauger) Note(unreachable bool, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := g.at(now)
+	g.requests[i]++
+	if unreachable {
+		g.failed[i]++
+	}
+}
+
+// at returns the present step, emptied when it was last used one span ago.
+func (g *Gauger) at(now time.Time) int {
+	number := now.UnixNano() / int64(span/steps)
+	i := int(number % steps)
+	if g.number[i] != number {
+		g.number[i], g.requests[i], g.failed[i] = number, 0, 0
+	}
+	return i
+}
+
+// CutOff reports whether the host is cut off: out of contact with control for the time stale, and unable to answer a
+// part of its requests. Once cut off it stays so until it is in contact again, because no requests come that could
+// show anything.
+func (g *Gauger) CutOff(stale time.Duration, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if stale < staleTime {
+		g.cut = false
+		return false
+	}
+	requests, failed := 0, 0
+	newest := now.UnixNano() / int64(span/steps)
+	for i := range steps {
+		if newest-g.number[i] < steps {
+			requests += g.requests[i]
+			failed += g.failed[i]
+		}
+	}
+	if requests >= leastRequests && float64(failed) >= failingShare*float64(requests) {
+		g.cut = true
+	}
+	return g.cut
+}
--- /dev/null
+++ b/fleetd/gauger/gauger_test.go
@@ -0,0 +1,46 @@
+package gauger_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/fleetd/gauger"
+)
+
+var start = time.Unix(1000, 0)
+
+func note(g *gauger.Gauger, unreachable, answered int, now time.Time) {
+	for range unreachable {
+		g.Note(true, now)
+	}
+	for range answered {
+		g.Note(false, now)
+	}
+}
+
+// Load: a data centre is cut off, and some shards have no leaf in it. Guards against a host that goes on to take
+// connections whose requests it cannot answer, and against one that stays away when it is back.
+func TestHostThatCannotAnswerIsCutOffUntilItIsBack(t *testing.T) {
+	g := gauger.New()
+	note(g, 5, 5, start)
+	qt.Assert(t, g.CutOff(1500*time.Millisecond, start), qt.IsTrue)
+	later := start.Add(5 * time.Second)
+	qt.Assert(t, g.CutOff(6*time.Second, later), qt.IsTrue)
+	qt.Assert(t, g.CutOff(100*time.Millisecond, later), qt.IsFalse)
+	qt.Assert(t, g.CutOff(2*time.Second, later), qt.IsFalse)
+}
+
+// Load: all leaves of a shard are down while control is in contact, or control is down while leaves answer. Guards
+// against all hosts turning callers away at one time.
+func TestTroubleOfLeavesOrOfControlAloneIsNoCut(t *testing.T) {
+	g := gauger.New()
+	note(g, 10, 0, start)
+	qt.Assert(t, g.CutOff(500*time.Millisecond, start), qt.IsFalse)
+	g = gauger.New()
+	note(g, 1, 9, start)
+	qt.Assert(t, g.CutOff(time.Minute, start), qt.IsFalse)
+	note(g, 10, 0, start)
+	qt.Assert(t, g.CutOff(time.Minute, start.Add(2*time.Second)), qt.IsFalse)
+}
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -38,7 +38,8 @@
 		return router.Limits{}
 	}
 	receive := receiver.New(func() time.Duration { return limits().Idle }, s.grace, clock)
-	ready := func() bool { return !receive.Stopping() && follow.View().Table != nil }
+	ready := func() bool { return !receive.Stopping() && follow.View().Table != nil && !answer.CutOff(clock()) }
+	closing := func() bool { return receive.Stopping() || answer.CutOff(clock()) }
 	go func() {
 		if err := serve(running, s.Listen.Ready, platform.Ready(ready)); err != nil {
 			eventer.ServeFailed.Log(clock(), "address", s.Listen.Ready, "error", err.Error())
@@ -50,7 +51,7 @@
 		<-ctx.Done()
 		eventer.Draining.Log(clock(), "host", s.Name)
 	}()
-	err := receive.Run(ctx, s.Listen.Callers, platform.NewIngress(answer, limits, receive.Stopping, clock))
+	err := receive.Run(ctx, s.Listen.Callers, platform.NewIngress(answer, limits, closing, clock))
 	eventer.Stopped.Log(clock(), "host", s.Name)
 	return err
 }
--- a/lib/eventer/member.go
+++ b/lib/eventer/member.go
@@ -23,5 +23,7 @@
 	RosterRead       = define(3020, Info, "leaves known from before the start")
 	RosterUnread     = define(3021, Warning, "the leaves known before the start cannot be read")
 	RosterUnsaved    = define(3022, Warning, "the roster of leaves cannot be written")
+	HostCutOff       = define(3023, Warning, "this host is cut off and wants no connections")
+	HostBack         = define(3024, Info, "this host is no longer cut off")
 	LeafContradicted = define(3019, Warning, "heartbeat contradicts the leaf's earlier ones and was ignored")
 )
--- a/lib/planner/planner.go
+++ b/lib/planner/planner.go
@@ -66,8 +66,9 @@
 	attempts []attempt
 	// first is the first attempt of the present run; a rerun on a newer snapshot moves it.
 	first int
-	// left counts the shards that are not settled.
-	left int
+	// left counts the shards that are not settled, missing those that are settled without an answer.
+	left    int
+	missing int
 	// waiting is true while the canary's reply is awaited.
 	waiting bool
 	// crashed stops hedges and retries: the request may be harmful.
@@ -126,6 +127,9 @@
 		p.unpark(now)
 		p.hedge(now)
 	}
+	if p.hopeless() {
+		p.giveUp(reasonCoverage)
+	}
 	p.suffice(now)
 	p.advance(now)
 	return p.actions
--- a/lib/planner/send.go
+++ b/lib/planner/send.go
@@ -41,6 +41,9 @@
 	s.settled = true
 	s.reason = reason
 	p.left--
+	if reason != reasonNone {
+		p.missing++
+	}
 	p.cancel(i)
 }
 
--- a/lib/planner/start.go
+++ b/lib/planner/start.go
@@ -21,7 +21,7 @@
 func (p *Planner) run(snapshot *cataloguer.Snapshot, now time.Time) {
 	p.snapshot = snapshot
 	p.first = len(p.attempts)
-	p.left = int(snapshot.Shards)
+	p.left, p.missing = int(snapshot.Shards), 0
 	p.shards = make([]shard, snapshot.Shards)
 	p.hedges = p.hedges[:0]
 	p.parked = nil
--- a/lib/planner/suffice.go
+++ b/lib/planner/suffice.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// hopeless reports whether the shards that are missing for good are too many for an answer.
+func (p *Planner) hopeless() bool {
+	return !p.query.Keyed && p.left > 0 && float64(len(p.shards)-p.missing) < p.query.Least*float64(len(p.shards))
+}
+
 // sufficeAt returns when the parts that are in suffice for an answer, as far as they reach the least coverage.
 //
 // A late answer has a small part of the worth of a timely one, while a missing part costs about twice its share of
--- a/lib/selector/selector.go
+++ b/lib/selector/selector.go
@@ -27,6 +27,10 @@
 	mostFailing = 0.95
 )
 
+// goneStreak is the number of calls in a row that did not reach a leaf after which not even Force permits another one
+// before its time.
+const goneStreak = 3
+
 // leastOverdue is the age below which a call is never overdue: goroutines and networks add some milliseconds.
 const leastOverdue = 12 * time.Millisecond
 
@@ -44,7 +48,7 @@
 	Typical time.Duration
 	// ColdInterval is the least time between two of this host's calls to a cold leaf; 0 means no bound.
 	ColdInterval time.Duration
-	// Force also permits leaves that lately could not be reached.
+	// Force also permits leaves that lately could not be reached, unless that has happened several times in a row.
 	Force bool
 	// Random breaks ties.
 	Random Random
@@ -80,7 +84,7 @@
 		return 0, false
 	}
 	shut := now.Before(r.until) || r.streak > 0 && len(r.open) > 0
-	if shut && !c.Force {
+	if shut && (!c.Force || r.streak >= goneStreak) {
 		return 0, false
 	}
 	slots := float64(max(l.Slots, 1))
