Give hosts a double share of connections to leaves of their own data centre

Cause: 9 hosts with 2 of 26 connections each ran out at slow leaves, and such calls spent budget although nothing was sent.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -19,8 +19,10 @@
 	// called rarely, and their connections are shared by more hosts.
 	localHold  = 10 * time.Second
 	remoteHold = 3 * time.Second
-	// leastShare is the least number of connections that a host may have to a leaf of its own data centre.
+	// leastShare is the least number of connections that a host may have to a leaf.
 	leastShare = 2
+	// localFactor multiplies the share for leaves of the own data centre, which hosts elsewhere use little.
+	localFactor = 2
 )
 
 // Reasons of the calls' ends.
@@ -51,10 +53,10 @@
 	q.running[c.Attempt] = running
 	out := &carrier.Call{
 		Request: q.request, Leaf: c.Target.Leaf.Name, Address: c.Target.Leaf.Address, Deadline: c.Sent.Add(c.Timeout),
-		Fresh: !q.route.Idempotent, Hold: localHold, Share: q.share(c.Target.Leaf.Service),
+		Fresh: !q.route.Idempotent, Hold: localHold, Share: localFactor * q.share(c.Target.Leaf.Service),
 	}
 	if c.Target.Leaf.Center != a.center {
-		out.Hold = remoteHold
+		out.Hold, out.Share = remoteHold, q.share(c.Target.Leaf.Service)
 	}
 	results := q.results
 	go func() {
@@ -157,7 +159,7 @@
 	v := verdict{reason: reasonLost, end: selector.Erred, text: err.Error()}
 	switch {
 	case errors.Is(err, exchanger.ErrBusy):
-		v.reason, v.unsent, v.end = reasonOverloaded, true, selector.Neutral
+		v.reason, v.unsent, v.end = reasonNoReplica, true, selector.Neutral
 	case errors.Is(err, exchanger.ErrUnreachable):
 		v.unsent, v.end = true, selector.Unreachable
 	case errors.Is(err, context.DeadlineExceeded):
