--- /dev/null
+++ b/fleetd/answerer/answerer_test.go
@@ -0,0 +1,305 @@
+package answerer_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/fleetd/answerer"
+	"lycheelift.example/fleetd/exchanger"
+	"lycheelift.example/fleetd/follower"
+	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/merger"
+	"lycheelift.example/lib/router"
+)
+
+// behaviour is how one leaf answers.
+type behaviour func(ctx context.Context, c *carrier.Call) (*carrier.Answer, error)
+
+// fleet is a host's view of shards with three leaves each, and the leaves.
+type fleet struct {
+	mu     sync.Mutex
+	leaves map[string]behaviour
+	calls  []*carrier.Call
+	view   follower.View
+}
+
+const (
+	typical = 8 * time.Millisecond
+	target  = 100 * time.Millisecond
+	timeout = 1500 * time.Millisecond
+)
+
+// newFleet returns shards of which every leaf answers in the typical time.
+func newFleet(shards int) *fleet {
+	f := &fleet{leaves: make(map[string]behaviour)}
+	document := &router.Document{Version: 3, Routes: []router.Route{
+		{Name: "all", Host: "n", Prefix: "/all/", Idempotent: true, Timeout: timeout, Target: target, Attempts: 2, Top: 3, Least: 0.89},
+		{Name: "one", Host: "n", Prefix: "/one/", Idempotent: true, Timeout: timeout, Attempts: 2, Split: []router.Share{{Service: "s0", Weight: 1}}},
+		{Name: "once", Host: "n", Prefix: "/once/", Timeout: timeout, Attempts: 2, Split: []router.Share{{Service: "s0", Weight: 1}}},
+	}}
+	f.view = follower.View{Holders: make(map[string][]*cataloguer.Leaf), Entries: 1, Settled: time.Now()}
+	for i := range shards {
+		service := fmt.Sprintf("s%d", i)
+		document.Routes[0].Gather = append(document.Routes[0].Gather, service)
+		document.Services = append(document.Services, router.Service{Name: service, Connections: 26})
+		for j, center := range []string{"a", "b", "c"} {
+			name := fmt.Sprintf("%s%s", service, center)
+			f.view.Holders[service] = append(f.view.Holders[service], &cataloguer.Leaf{
+				Name: name, Incarnation: 1, Center: center, Service: service, Slots: 2,
+				Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(100*i+j)),
+			})
+			f.leaves[name] = f.answers(name, typical)
+		}
+	}
+	f.view.Table = router.NewTable(document)
+	return f
+}
+
+// answers returns a leaf that answers after a time with a record of its own.
+func (f *fleet) answers(name string, took time.Duration) behaviour {
+	return func(ctx context.Context, c *carrier.Call) (*carrier.Answer, error) {
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(took):
+		}
+		record := fmt.Sprintf("%-*s", merger.Size, name)
+		return &carrier.Answer{Status: 200, Stamp: name + "/" + c.Request.ID, ID: c.Request.ID, Body: []byte(record)}, nil
+	}
+}
+
+// sheds refuses every call.
+func sheds(context.Context, *carrier.Call) (*carrier.Answer, error) {
+	return &carrier.Answer{Status: 503, Stamp: "s", NotRun: true}, nil
+}
+
+// breaks loses the connection after the request was sent.
+func breaks(context.Context, *carrier.Call) (*carrier.Answer, error) {
+	return nil, exchanger.ErrLost
+}
+
+// refuses accepts no connection.
+func refuses(context.Context, *carrier.Call) (*carrier.Answer, error) {
+	return nil, exchanger.ErrUnreachable
+}
+
+// hangs answers nothing until the call is given up.
+func hangs(ctx context.Context, _ *carrier.Call) (*carrier.Answer, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (f *fleet) View() *follower.View { return &f.view }
+
+func (f *fleet) Do(ctx context.Context, c *carrier.Call) (*carrier.Answer, error) {
+	f.mu.Lock()
+	f.calls = append(f.calls, c)
+	leaf := f.leaves[c.Leaf]
+	f.mu.Unlock()
+	return leaf(ctx, c)
+}
+
+// called counts the calls to the leaves whose names are given, or all calls.
+func (f *fleet) called(names ...string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, c := range f.calls {
+		if len(names) == 0 || slices.Contains(names, c.Leaf) {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *fleet) answerer() *answerer.Answerer {
+	bounds := answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+	return answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithRandom(func() float64 { return 0 }))
+}
+
+// ask sends one request and returns the reply and the time it took.
+func ask(a *answerer.Answerer, path string) (*carrier.Reply, time.Duration) {
+	began := time.Now()
+	reply := a.Answer(context.Background(), &carrier.Request{
+		ID: fmt.Sprint(began.UnixNano()), Method: "GET", Host: "n", Path: path, Target: path, Received: began, Wait: 6 * time.Second,
+	})
+	synctest.Wait()
+	return reply, time.Since(began)
+}
+
+// each runs a test in a bubble of its own time.
+func each(t *testing.T, f func(t *testing.T)) {
+	synctest.Test(t, f)
+}
+
+func TestGatheredAnswerIsWholeAndTrue(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f := newFleet(10)
+		reply, took := ask(f.answerer(), "/all/2f")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Gathered)
+		qt.Assert(t, reply.Stamps, qt.HasLen, 10)
+		qt.Assert(t, reply.Missing, qt.Equals, 0)
+		qt.Assert(t, string(reply.Body), qt.Equals, fmt.Sprintf("%-16s%-16s%-16s", "s9a", "s8a", "s7a"))
+		qt.Assert(t, took, qt.Equals, typical)
+		qt.Assert(t, f.called(), qt.Equals, 10)
+	})
+}
+
+// Load: each leaf pauses 120 ms every 3 s, so that a third of the queries over 10 shards meet a pause. Guards against
+// answers that wait for the pause.
+func TestPausedLeafIsHedged(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f := newFleet(10)
+		a := f.answerer()
+		for range 20 {
+			ask(a, "/all/2f")
+		}
+		f.leaves["s3a"] = f.answers("s3a", 120*time.Millisecond)
+		reply, took := ask(a, "/all/2f")
+		qt.Assert(t, reply.Missing, qt.Equals, 0)
+		qt.Assert(t, took < target/2, qt.IsTrue, qt.Commentf("%s", took))
+	})
+}
+
+// Load: all leaves of a shard go dark. Guards against answers that come late for one part of ten, and against answers
+// that go on to wait for a shard that is known to be out of reach.
+func TestDarkShardIsLeftOut(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f := newFleet(10)
+		a := f.answerer()
+		ask(a, "/all/2f")
+		for _, name := range []string{"s3a", "s3b", "s3c"} {
+			f.leaves[name] = hangs
+		}
+		const queries = 100
+		waited := 0
+		for range queries {
+			reply, took := ask(a, "/all/2f")
+			qt.Assert(t, reply.Outcome, qt.Equals, carrier.Gathered)
+			qt.Assert(t, reply.Missing, qt.Equals, 1)
+			qt.Assert(t, reply.Stamps, qt.HasLen, 9)
+			qt.Assert(t, took < target, qt.IsTrue)
+			if took > typical {
+				waited++
+			}
+		}
+		qt.Assert(t, waited < queries/2, qt.IsTrue, qt.Commentf("%d of %d waited", waited, queries))
+	})
+}
+
+// Guards against an answer with less than the least coverage, and against one that is held when it is hopeless.
+func TestTooFewPartsAreNoAnswer(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f := newFleet(10)
+		for _, name := range []string{"s3a", "s3b", "s3c", "s4a", "s4b", "s4c"} {
+			f.leaves[name] = breaks
+		}
+		reply, took := ask(f.answerer(), "/all/2f")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Failed)
+		qt.Assert(t, took < target, qt.IsTrue)
+	})
+}
+
+// Load: a broad slowdown in which every call wants a hedge. Guards against hedges that double the load.
+func TestHedgesKeepToTheBudget(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f := newFleet(1)
+		a := f.answerer()
+		for _, name := range []string{"s0a", "s0b", "s0c"} {
+			f.leaves[name] = f.answers(name, 60*time.Millisecond)
+		}
+		const requests = 160 // within one window of 10 s
+		for range requests {
+			ask(a, "/all/2f")
+		}
+		qt.Assert(t, f.called()-requests <= requests/5+58, qt.IsTrue, qt.Commentf("%d calls", f.called()))
+	})
+}
+
+// Guards against a request that may run once and runs twice, and against a refusal of it that is not true.
+func TestRequestThatMayRunOnceIsSentOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		first   behaviour
+		outcome carrier.Outcome
+		calls   int
+	}{
+		"answer lost":     {breaks, carrier.Failed, 1},
+		"shed":            {sheds, carrier.Answered, 2},
+		"no connection":   {refuses, carrier.Answered, 2},
+		"another's reply": {func(context.Context, *carrier.Call) (*carrier.Answer, error) { return &carrier.Answer{Status: 200, Stamp: "s", ID: "other"}, nil }, carrier.Failed, 1},
+		"no signature":    {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) { return &carrier.Answer{Status: 200, ID: c.Request.ID}, nil }, carrier.Failed, 1},
+		"leaf's error":    {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) { return &carrier.Answer{Status: 500, Stamp: "s", ID: c.Request.ID}, nil }, carrier.Answered, 1},
+		"503 that ran":    {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) { return &carrier.Answer{Status: 503, Promise: true, Stamp: "s", ID: c.Request.ID}, nil }, carrier.Failed, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			each(t, func(t *testing.T) {
+				f := newFleet(1)
+				f.leaves["s0a"] = c.first
+				reply, _ := ask(f.answerer(), "/once/1")
+				qt.Assert(t, reply.Outcome, qt.Equals, c.outcome)
+				qt.Assert(t, f.called(), qt.Equals, c.calls)
+				qt.Assert(t, f.calls[0].Fresh, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// Guards against a refusal that is not told as such, and against one without a time to come back.
+func TestRefusalSaysThatNothingHasRun(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f := newFleet(1)
+		for name := range f.leaves {
+			f.leaves[name] = sheds
+		}
+		reply, took := ask(f.answerer(), "/once/1")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Refused)
+		qt.Assert(t, reply.Wait > 0, qt.IsTrue)
+		qt.Assert(t, took < 10*time.Millisecond, qt.IsTrue)
+		f.leaves["s0a"] = breaks
+		reply, _ = ask(f.answerer(), "/once/1")
+		qt.Assert(t, reply.Outcome, qt.Not(qt.Equals), carrier.Refused)
+	})
+}
+
+// Guards against a request that outlives its route's timeout or its caller, and against calls that outlive it.
+func TestTimeoutAndCallersWhoLeave(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f := newFleet(1)
+		for name := range f.leaves {
+			f.leaves[name] = hangs
+		}
+		a := f.answerer()
+		reply, took := ask(a, "/one/1")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.TimedOut)
+		qt.Assert(t, took <= timeout, qt.IsTrue)
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(50*time.Millisecond, cancel)
+		began := time.Now()
+		reply = a.Answer(ctx, &carrier.Request{ID: "x", Host: "n", Path: "/once/1", Received: began, Wait: time.Minute})
+		qt.Assert(t, reply.Outcome == carrier.Answered, qt.IsFalse)
+		qt.Assert(t, time.Since(began), qt.Equals, 50*time.Millisecond)
+		synctest.Wait() // The bubble ends only when every call has ended.
+	})
+}
+
+// Guards against a 404 of a host that has no configuration yet, and against one for a route that exists.
+func TestRoutes(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f := newFleet(1)
+		a := f.answerer()
+		reply, _ := ask(a, "/none/")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Unrouted)
+		f.view.Table = nil
+		reply, _ = ask(a, "/none/")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Refused)
+	})
+}
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -136,6 +136,8 @@
 		return verdict{reason: reasonNoReplica, notRun: true, end: selector.Unreachable, text: "another leaf has the address"}
 	case a.NotRun:
 		return verdict{reason: reasonOverloaded, notRun: true, end: selector.Shed, text: http.StatusText(a.Status)}
+	case a.Promise:
+		return verdict{reason: reasonServerError, end: selector.Erred, text: "a status that promises that nothing has run, from a leaf that does not say so"}
 	case a.Encoded:
 		return verdict{reason: reasonServerError, end: selector.Erred, text: "the body is encoded"}
 	case a.Status/100 == 2 && a.Stamp != "":
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,8 @@
 	retryInterval = 100 * time.Millisecond
 	// headStart is how much earlier a candidate is turned to than the next one.
 	headStart = 150 * time.Millisecond
+	// settledPreference is how long only a control host in contact with a leader is chosen.
+	settledPreference = 700 * time.Millisecond
 	// unsettledTime is how long an entry host stays with a control host that is not in contact with a leader, before
 	// it looks for another.
 	unsettledTime = 300 * time.Millisecond
@@ -32,6 +35,8 @@
 	center   string
 	seeds    func() []string
 	clock    func() time.Time
+
+	mu sync.Mutex
 	// controls are the control hosts of which the last message told.
 	controls []control
 }
@@ -57,18 +62,25 @@
 }
 
 // race turns to the candidates in their order, each a little later than the one before, and follows the first that
-// answers. It returns when that one is lost or when none answers.
+// answers and is in contact with a leader, or after a while the first that answers. It returns when that one is lost or
+// when none answers.
 func (c *Client) race(ctx context.Context, candidates []string) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var winner atomic.Int32
+	began := c.clock()
 	ended := make(chan struct{}, len(candidates))
 	started := 0
 	start := func() {
 		number, address := int32(started+1), candidates[started] //nolint:gosec // A few candidates.
 		started++
 		go func() {
-			claim := func() bool { return winner.CompareAndSwap(0, number) || winner.Load() == number }
+			claim := func(settled bool) bool {
+				if winner.Load() == 0 && !settled && c.clock().Sub(began) < settledPreference {
+					return true // Heard, and not yet chosen.
+				}
+				return winner.CompareAndSwap(0, number) || winner.Load() == number
+			}
 			err := c.follow(ctx, address, claim)
 			if winner.Load() == number {
 				cancel()
@@ -109,7 +121,10 @@
 			others = append(others, address)
 		}
 	}
-	for _, k := range c.controls {
+	c.mu.Lock()
+	known := c.controls
+	c.mu.Unlock()
+	for _, k := range known {
 		add(k.address, k.center)
 	}
 	for _, address := range c.seeds() {
@@ -134,12 +149,12 @@
 }
 
 // follow follows one control host until it goes silent or loses its leader.
-// Claim reports whether this stream is the one to follow; it is asked at each message.
-func (c *Client) follow(ctx context.Context, address string, claim func() bool) error {
+// Claim reports whether to go on with this stream; it is asked at each message.
+func (c *Client) follow(ctx context.Context, address string, claim func(settled bool) bool) error {
 	request := &peerv1.FollowRequest{Host: c.host, Center: c.center, Version: c.follower.View().Version()}
 	settled, first := c.clock(), true
 	return linker.Follow(ctx, address, request, func(m *peerv1.FollowResponse) error {
-		if !claim() {
+		if !claim(m.GetSettled()) {
 			return linker.ErrDone
 		}
 		now := c.clock()
@@ -162,8 +177,11 @@
 }
 
 func (c *Client) learn(in []*peerv1.ControlHost) {
-	c.controls = c.controls[:0]
+	known := make([]control, 0, len(in))
 	for _, k := range in {
-		c.controls = append(c.controls, control{address: k.GetAddress(), center: k.GetCenter()})
+		known = append(known, control{address: k.GetAddress(), center: k.GetCenter()})
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.controls = known
 }
--- a/lib/carrier/carrier.go
+++ b/lib/carrier/carrier.go
@@ -63,6 +63,9 @@
 	Encoded bool
 	// NotRun is true when the leaf states that it did not run the request and never will.
 	NotRun bool
+	// Promise is true when the status tells a caller that the request has not run. Without NotRun it must not be
+	// passed on.
+	Promise bool
 	// Moved is true when another leaf has the address.
 	Moved bool
 	// Load is nil when the leaf does not state it.
--- a/lib/selector/record.go
+++ b/lib/selector/record.go
@@ -23,8 +23,9 @@
 	loadTime = 300 * time.Millisecond
 	// ghostTime is how long a call that was given up without an answer counts as overdue.
 	ghostTime = 250 * time.Millisecond
-	// silentAge is the age from which a call without an answer counts as a sign that the leaf cannot be reached.
-	silentAge = 100 * time.Millisecond
+	// silentTime is how long a leaf that is called must stay without any answer to count as out of reach. Calls are
+	// given up sooner, when a hedge answers or the target has come.
+	silentTime = 100 * time.Millisecond
 	// shutFirst and shutMost bound the time for which a leaf that cannot be reached is not called.
 	shutFirst = 200 * time.Millisecond
 	shutMost  = time.Second
@@ -50,8 +51,9 @@
 	used time.Time
 	// open holds the start times of open calls, the oldest first.
 	open []time.Time
-	// ghost is the start of a call that was given up without an answer, while nothing was heard since.
-	ghost time.Time
+	// ghost is the start of the first call that was given up without an answer since the leaf last answered, and given
+	// when the newest one was given up.
+	ghost, given time.Time
 	// ratio is the smoothed latency in typical calls, and last the newest one.
 	ratio, last float64
 	ratioAt     time.Time
@@ -125,7 +127,7 @@
 	if len(r.open) > 0 {
 		age = now.Sub(r.open[0])
 	}
-	if !r.ghost.IsZero() && now.Sub(r.ghost) < ghostTime {
+	if !r.ghost.IsZero() && now.Sub(r.given) < ghostTime {
 		age = max(age, now.Sub(r.ghost))
 	}
 	if age < lateAge(typical) {
--- a/lib/selector/selector_test.go
+++ b/lib/selector/selector_test.go
@@ -127,6 +127,18 @@
 	qt.Assert(t, w.choose(t), qt.Equals, "a")
 }
 
+// Load: a leaf goes dark while every call to it is given up early, because a hedge answers or the target has come.
+// Guards against calling it for ever, because no single call is old enough to show that it is out of reach.
+func TestDarkLeafIsShutAlthoughCallsAreGivenUpEarly(t *testing.T) {
+	w := newWorld()
+	w.leaves = w.leaves[:1]
+	for range 3 {
+		w.call(0, 4*typical, selector.Abandoned)
+	}
+	_, ok := w.table.Choose(w.choice(), w.now)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
 // Guards against evidence on a leaf that outlives it: the next incarnation at its name starts anew.
 func TestNewIncarnationStartsWithoutEvidence(t *testing.T) {
 	w := newWorld()
--- a/lib/selector/ticket.go
+++ b/lib/selector/ticket.go
@@ -86,11 +86,12 @@
 	if age < lateAge(k.typical) {
 		return
 	}
-	if r.ghost.IsZero() || now.Sub(r.ghost) >= ghostTime {
+	if r.ghost.IsZero() {
 		r.ghost = k.sent
 	}
+	r.given = now
 	r.measure(age, k.typical, now)
-	if age >= silentAge && age >= time.Duration(mostRatio*float64(k.typical)) {
+	if silent := now.Sub(r.ghost); silent >= silentTime && silent >= time.Duration(mostRatio*float64(k.typical)) {
 		r.shut(now)
 	}
 }
