--- a/fleetd/answerer/answerer_test.go
+++ b/fleetd/answerer/answerer_test.go
@@ -232,13 +232,21 @@
 		outcome carrier.Outcome
 		calls   int
 	}{
-		"answer lost":     {breaks, carrier.Failed, 1},
-		"shed":            {sheds, carrier.Answered, 2},
-		"no connection":   {refuses, carrier.Answered, 2},
-		"another's reply": {func(context.Context, *carrier.Call) (*carrier.Answer, error) { return &carrier.Answer{Status: 200, Stamp: "s", ID: "other"}, nil }, carrier.Failed, 1},
-		"no signature":    {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) { return &carrier.Answer{Status: 200, ID: c.Request.ID}, nil }, carrier.Failed, 1},
-		"leaf's error":    {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) { return &carrier.Answer{Status: 500, Stamp: "s", ID: c.Request.ID}, nil }, carrier.Answered, 1},
-		"503 that ran":    {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) { return &carrier.Answer{Status: 503, Promise: true, Stamp: "s", ID: c.Request.ID}, nil }, carrier.Failed, 1},
+		"answer lost":   {breaks, carrier.Failed, 1},
+		"shed":          {sheds, carrier.Answered, 2},
+		"no connection": {refuses, carrier.Answered, 2},
+		"another's reply": {func(context.Context, *carrier.Call) (*carrier.Answer, error) {
+			return &carrier.Answer{Status: 200, Stamp: "s", ID: "other"}, nil
+		}, carrier.Failed, 1},
+		"no signature": {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) {
+			return &carrier.Answer{Status: 200, ID: c.Request.ID}, nil
+		}, carrier.Failed, 1},
+		"leaf's error": {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) {
+			return &carrier.Answer{Status: 500, Stamp: "s", ID: c.Request.ID}, nil
+		}, carrier.Answered, 1},
+		"503 that ran": {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) {
+			return &carrier.Answer{Status: 503, Promise: true, Stamp: "s", ID: c.Request.ID}, nil
+		}, carrier.Failed, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			each(t, func(t *testing.T) {
