Add a soak of real processes under random faults, and a stand-in leaf that speaks the platform's protocol

leafd/provider is the stand-in; soaker runs control and entry hosts on loopback with kills, freezes, stops, lost disks, torn logs and a proxy that silences, cuts, delays and resets, and checks answers, single runs, refusals, configurations and departures. A short seeded run is part of make test. fleetd can listen for other hosts at another address than the one that they are told.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Usage: make setup (once), then make demo or make test.
 GOBIN := $(CURDIR)/.bin
 export GOBIN
-MODULES := schema lib platform entryd controld lycheelift fleetd leafd loader demo
+MODULES := schema lib platform entryd controld lycheelift fleetd leafd loader demo soaker
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 TOOLS := \
 	github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0 \
@@ -11,7 +11,7 @@
 	google.golang.org/grpc/cmd/protoc-gen-go-grpc@v1.6.2 \
 	github.com/atombender/go-jsonschema@v0.24.1 \
 	mvdan.cc/gofumpt@v0.12.0
-PROGRAMS := entryd controld lycheelift fleetd leafd loader demo
+PROGRAMS := entryd controld lycheelift fleetd leafd loader demo soaker
 
 .PHONY: setup tools build generate current format formatted lint vet test race demo soak
 
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -114,9 +114,9 @@
 	peers := grpc.NewServer(options...)
 	peerv1.RegisterReplicaServiceServer(peers, log.Service())
 	peerv1.RegisterFollowServiceServer(peers, keeper.NewService(keep, stopping))
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.peers.String())
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.bind)
 	if err != nil {
-		return oops.In("server").Wrapf(err, "listen on %s", s.peers)
+		return oops.In("server").Wrapf(err, "listen on %s", s.bind)
 	}
 	failed := make(chan error, 2)
 	serving, stop := context.WithCancel(context.Background())
--- a/fleetd/server/server.go
+++ b/fleetd/server/server.go
@@ -24,9 +24,11 @@
 
 	address netip.Addr
 	seeds   []netip.AddrPort
-	peers   netip.AddrPort
-	grace   time.Duration
-	window  time.Duration
+	// peers is the address at which other hosts reach this one, bind the one at which it listens for them.
+	peers  netip.AddrPort
+	bind   string
+	grace  time.Duration
+	window time.Duration
 }
 
 // ErrSettings marks settings that the schema permits and the host cannot use.
@@ -50,6 +52,10 @@
 		s.seeds = append(s.seeds, seed)
 	}
 	s.peers = netip.AddrPortFrom(s.address, uint16(in.Ports[0])) //nolint:gosec // The schema permits ports only.
+	s.bind = in.Listen.Peers
+	if s.bind == "" {
+		s.bind = s.peers.String()
+	}
 	s.grace, err = time.ParseDuration(in.Bounds.Grace)
 	fail("bounds.grace", err)
 	s.window, err = time.ParseDuration(in.Bounds.Window)
--- a/schema/gen/settings/fleetd/fleetd.go
+++ b/schema/gen/settings/fleetd/fleetd.go
@@ -17,6 +17,10 @@
 	// Address for metrics; empty serves none.
 	Metrics string `json:"metrics,omitempty,omitzero"`
 
+	// Address for other hosts where it differs from the one that they are told, as
+	// behind a proxy (control).
+	Peers string `json:"peers,omitempty,omitzero"`
+
 	// Address for readiness checks (entry).
 	Ready string `json:"ready,omitempty,omitzero"`
 }
@@ -41,6 +45,9 @@
 	if v, ok := raw["metrics"]; !ok || v == nil {
 		plain.Metrics = ""
 	}
+	if v, ok := raw["peers"]; !ok || v == nil {
+		plain.Peers = ""
+	}
 	if v, ok := raw["ready"]; !ok || v == nil {
 		plain.Ready = ""
 	}
