--- a/soaker/runner/runner.go
+++ b/soaker/runner/runner.go
@@ -116,7 +116,7 @@
 		}
 		l := provider.New(provider.Config{
 			Name: fmt.Sprintf("leaf-%d", i), Service: service, Center: string(rune('a' + i%replicas)),
-			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(c.Subnet), 3, 1}), uint16(leafPort+i)),      //nolint:gosec // Small numbers.
+			Address:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(c.Subnet), 3, 1}), uint16(leafPort+i)), //nolint:gosec // Small numbers.
 			Controls: func() []string { return controls }, Slots: 64, Interval: leafInterval, Seed: c.Seed + uint64(i),
 			Ran: probe.Ran,
 		})
