--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -39,6 +39,8 @@
 	estimateRefresh = 32
 	// retryWait is the wait that a refused caller is told: leaves that shed have room again after some calls.
 	retryWait = 100 * time.Millisecond
+	// gaugeInterval is the least time between two looks whether this host is cut off.
+	gaugeInterval = 100 * time.Millisecond
 	// startWait is the wait that a caller is told while this host knows too little: after the loss of all hosts the
 	// control hosts need about a second.
 	startWait = 500 * time.Millisecond
@@ -61,6 +63,8 @@
 	metrics  *metrics
 	gauge    *gauger.Gauger
 	cut      atomic.Bool
+	// gauged is when the evidence was last looked at, Unix time in nanoseconds.
+	gauged atomic.Int64
 }
 
 // Bounds are limits that hold over all entry hosts together.
@@ -108,14 +112,24 @@
 
 // CutOff reports whether this host should get no new connections, because it is cut off and cannot answer.
 func (a *Answerer) CutOff(now time.Time) bool {
-	age := a.viewer.View().Age(now)
-	cut := a.gauge.CutOff(age, now)
+	last := a.gauged.Load()
+	if now.UnixNano()-last < int64(gaugeInterval) || !a.gauged.CompareAndSwap(last, now.UnixNano()) {
+		return a.cut.Load()
+	}
+	view := a.viewer.View()
+	evidence := gauger.Evidence{Stale: view.Age(now)}
+	for _, leaves := range view.Holders {
+		reached, lost := a.selector.Reach(leaves, a.center, now)
+		evidence.Reached += reached
+		evidence.Lost += lost
+	}
+	cut := a.gauge.CutOff(evidence, now)
 	if a.cut.Swap(cut) != cut {
 		event := eventer.HostBack
 		if cut {
 			event = eventer.HostCutOff
 		}
-		event.Log(now, "host", a.host, "stale", age)
+		event.Log(now, "host", a.host, "stale", evidence.Stale, "reached", evidence.Reached, "lost", evidence.Lost)
 	}
 	return cut
 }
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -21,6 +21,8 @@
 	remoteHold = 3 * time.Second
 	// leastShare is the least number of connections that a host may have to a leaf.
 	leastShare = 2
+	// mostShare bounds it while this host may not know of all the others, as after the loss of all hosts.
+	mostShare = 6
 	// localFactor multiplies the share for leaves of the own data centre, which hosts elsewhere use little.
 	localFactor = 2
 )
@@ -51,16 +53,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	running := &call{cancel: cancel, call: c, ticket: a.selector.Begin(c.Target.Leaf, &choice, c.Sent)}
 	q.running[c.Attempt] = running
-	out := &carrier.Call{
+	q.sent = append(q.sent, running)
+	running.out = &carrier.Call{
 		Request: q.request, Leaf: c.Target.Leaf.Name, Address: c.Target.Leaf.Address, Deadline: c.Sent.Add(c.Timeout),
 		Fresh: !q.route.Idempotent, Hold: localHold, Share: localFactor * q.share(c.Target.Leaf.Service),
 	}
 	if c.Target.Leaf.Center != a.center {
-		out.Hold, out.Share = remoteHold, q.share(c.Target.Leaf.Service)
+		running.out.Hold, running.out.Share = remoteHold, q.share(c.Target.Leaf.Service)
 	}
 	results := q.results
 	go func() {
-		answer, err := a.caller.Do(ctx, out)
+		answer, err := a.caller.Do(ctx, running.out)
 		results <- returned{call: running, answer: answer, err: err}
 	}()
 }
@@ -71,7 +74,7 @@
 	if !ok || s.Connections <= 0 {
 		return leastShare
 	}
-	return max(leastShare, s.Connections/max(q.view.Entries, 1))
+	return min(max(leastShare, s.Connections/max(q.view.Entries, 1)), mostShare)
 }
 
 // cancel gives a call up whose shard has been answered.
@@ -84,6 +87,7 @@
 
 // giveUp ends a call without its answer.
 func (q *query) giveUp(c *call) {
+	c.out.Gate.Close()
 	c.cancel()
 	c.ticket.End(selector.Abandoned, -1, q.answerer.clock())
 }
@@ -100,6 +104,7 @@
 	now := q.answerer.clock()
 	verdict := q.judge(r)
 	result.Reason, result.Unsent, result.NotRun = verdict.reason, verdict.unsent, verdict.notRun
+	r.call.harmless = verdict.unsent || verdict.notRun
 	load := -1
 	if r.answer != nil && r.answer.Load != nil {
 		load = max(0, r.answer.Load.Running+r.answer.Load.Waiting-1)
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -35,6 +35,7 @@
 	plan     *planner.Planner
 	results  chan returned
 	running  map[string]*call
+	sent     []*call
 	// answers holds usable answers by attempt.
 	answers map[string]*carrier.Answer
 	// response is the last response of a leaf that is not usable but may be passed on.
@@ -46,11 +47,25 @@
 	calls, hedges, retries int
 }
 
-// call is one leaf call in progress.
+// call is one leaf call.
 type call struct {
 	cancel context.CancelFunc
 	ticket *selector.Ticket
 	call   planner.Call
+	out    *carrier.Call
+	// harmless is true when it is certain that the leaf has not run the call and never will.
+	harmless bool
+}
+
+// unrun reports whether it is certain that no leaf has run any part of the request or ever will. Calls that have not
+// been sent yet never will be.
+func (q *query) unrun() bool {
+	for _, c := range q.sent {
+		if !c.harmless && !c.out.Gate.Close() {
+			return false
+		}
+	}
+	return true
 }
 
 // returned is the end of a leaf call.
@@ -184,10 +199,12 @@
 		}
 		return &carrier.Reply{Outcome: carrier.Answered, Answer: q.answers[p.Parts[0].Attempt]}
 	case callerv1.Outcome_OUTCOME_REFUSED:
-		q.unreachable = p.Reason == callerv1.Reason_REASON_COVERAGE || p.Reason == reasonNoReplica
-		return &carrier.Reply{Outcome: carrier.Refused, Wait: retryWait, Reason: p.Reason.String()}
+		return q.refused(p.Reason)
+	}
+	if p.Reason != callerv1.Reason_REASON_CANCELLED && q.unrun() {
+		return q.refused(p.Reason)
 	}
-	q.unreachable = p.Reason == callerv1.Reason_REASON_COVERAGE || p.Reason == reasonNoReplica
+	q.unreachable = unreachable(p.Reason)
 	if q.response != nil && len(q.route.Gather) == 0 {
 		return &carrier.Reply{Outcome: carrier.Answered, Answer: q.response, Reason: p.Reason.String()}
 	}
@@ -200,3 +217,19 @@
 	}
 	return out
 }
+
+// refused tells the caller that nothing has run, and when to come back: leaves that shed have room again soon, while
+// leaves out of reach need the network or another host.
+func (q *query) refused(reason planner.Reason) *carrier.Reply {
+	q.unreachable = unreachable(reason)
+	wait := retryWait
+	if q.unreachable {
+		wait = startWait
+	}
+	return &carrier.Reply{Outcome: carrier.Refused, Wait: wait, Reason: reason.String()}
+}
+
+// unreachable reports whether a request failed for want of leaves that can be reached.
+func unreachable(reason planner.Reason) bool {
+	return reason == callerv1.Reason_REASON_COVERAGE || reason == reasonNoReplica || reason == reasonLost
+}
--- a/fleetd/exchanger/exchanger.go
+++ b/fleetd/exchanger/exchanger.go
@@ -40,6 +40,8 @@
 	ErrBusy = errors.New("all connections to the leaf are in use")
 	// ErrUnreachable means that no connection could be opened; nothing was sent.
 	ErrUnreachable = errors.New("the leaf cannot be reached")
+	// ErrGivenUp means that the call was given up before anything was sent.
+	ErrGivenUp = errors.New("the call was given up")
 	// ErrLost means that the connection failed after the request was sent, at least in part.
 	ErrLost = errors.New("the connection to the leaf was lost")
 	// ErrSpoiled means that the leaf sent bytes that are no answer to the request.
@@ -100,6 +102,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if !c.Gate.Pass() {
+		e.discard(link)
+		return nil, ErrGivenUp
+	}
 	answer, err := e.exchange(ctx, link, c)
 	if err != nil {
 		e.discard(link)
--- a/fleetd/gauger/gauger.go
+++ b/fleetd/gauger/gauger.go
@@ -9,16 +9,31 @@
 
 const (
 	// staleTime is the time without contact to a settled control host after which a host may be cut off.
-	staleTime = time.Second
+	staleTime = 800 * time.Millisecond
 	// span is the time over which requests are counted, in steps.
 	span  = time.Second
 	steps = 10
 	// failingShare is the share of requests without enough reachable leaves from which on a host that may be cut off
-	// counts as such, and leastRequests the number of requests that the share needs.
-	failingShare  = 0.3
-	leastRequests = 4
+	// counts as such, and leastFailed the least number of them.
+	failingShare = 0.05
+	leastFailed  = 2
+	// lostShare is the share of the leaves of other data centres that a host which is cut off cannot reach.
+	lostShare = 0.8
 )
 
+// Evidence is what a host knows of its surroundings.
+type Evidence struct {
+	// Stale is the time without contact to a settled control host.
+	Stale time.Duration
+	// Reached and Lost count the leaves of other data centres that can and cannot be reached.
+	Reached, Lost int
+}
+
+// alone reports whether hardly any leaf of another data centre can be reached.
+func (e Evidence) alone() bool {
+	return e.Lost > 0 && float64(e.Lost) >= lostShare*float64(e.Reached+e.Lost)
+}
+
 // Gauger counts the requests of one host. It is safe for concurrent use.
 type Gauger struct {
 	mu       sync.Mutex
@@ -54,13 +69,14 @@
 	return i
 }
 
-// CutOff reports whether the host is cut off: out of contact with control for the time stale, and unable to answer a
-// part of its requests. Once cut off it stays so until it is in contact again, because no requests come that could
-// show anything.
-func (g *Gauger) CutOff(stale time.Duration, now time.Time) bool {
+// CutOff reports whether the host is cut off: out of contact with control and with the leaves of other data centres,
+// and unable to answer a part of its requests. Once cut off it stays so until it is in contact again, because no
+// requests come that could show anything. Trouble of control or of leaves alone must not turn the callers of all hosts
+// away.
+func (g *Gauger) CutOff(e Evidence, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if stale < staleTime {
+	if e.Stale < staleTime {
 		g.cut = false
 		return false
 	}
@@ -72,7 +88,7 @@
 			failed += g.failed[i]
 		}
 	}
-	if requests >= leastRequests && float64(failed) >= failingShare*float64(requests) {
+	if failed >= leastFailed && float64(failed) >= failingShare*float64(requests) && e.alone() {
 		g.cut = true
 	}
 	return g.cut
--- a/lib/carrier/carrier.go
+++ b/lib/carrier/carrier.go
@@ -40,6 +40,8 @@
 	Share int
 	// Hold is how long an unused connection is kept.
 	Hold time.Duration
+	// Gate is passed before the first byte is sent.
+	Gate Gate
 }
 
 // Load is what a leaf says of its own load.
--- a/lib/eventer/output.go
+++ b/lib/eventer/output.go
@@ -15,25 +15,48 @@
 type Output struct {
 	lines   chan []byte
 	dropped atomic.Uint64
-	done    chan struct{}
+	// stop is closed by Close, and done when everything has been written.
+	stop, done chan struct{}
 }
 
 // NewOutput starts to write to w.
 func NewOutput(w io.Writer) *Output {
-	o := &Output{lines: make(chan []byte, queueLength), done: make(chan struct{})}
+	o := &Output{lines: make(chan []byte, queueLength), stop: make(chan struct{}), done: make(chan struct{})}
 	go o.run(w)
 	return o
 }
 
 func (o *Output) run(w io.Writer) {
 	defer close(o.done)
-	for line := range o.lines {
-		if _, err := w.Write(line); err != nil {
-			o.dropped.Add(1)
+	for {
+		select {
+		case line := <-o.lines:
+			o.put(w, line)
+		case <-o.stop:
+			o.drain(w)
+			return
 		}
 	}
 }
 
+// drain writes what waits.
+func (o *Output) drain(w io.Writer) {
+	for {
+		select {
+		case line := <-o.lines:
+			o.put(w, line)
+		default:
+			return
+		}
+	}
+}
+
+func (o *Output) put(w io.Writer, line []byte) {
+	if _, err := w.Write(line); err != nil {
+		o.dropped.Add(1)
+	}
+}
+
 // Write takes one line.
 func (o *Output) Write(line []byte) (int, error) {
 	select {
@@ -49,9 +72,9 @@
 	return o.dropped.Load()
 }
 
-// Close writes what waits. No line may be written after it.
+// Close writes what waits. Later lines are lost: requests may still end while the process stops.
 func (o *Output) Close() {
-	close(o.lines)
+	close(o.stop)
 	<-o.done
 }
 
--- a/lib/eventer/output_test.go
+++ b/lib/eventer/output_test.go
@@ -1,6 +1,7 @@
 package eventer_test
 
 import (
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -34,3 +35,24 @@
 	qt.Assert(t, uint64(s.lines)+o.Dropped(), qt.Equals, uint64(lines))
 	qt.Assert(t, o.Dropped() > 0, qt.IsTrue)
 }
+
+// Guards against a process that crashes while it stops, because a request ends and is logged after the output was
+// closed (soak, seed 104).
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	s := &stuck{release: make(chan struct{})}
+	close(s.release)
+	o := eventer.NewOutput(s)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 100 {
+				_, err := o.Write([]byte("line\n"))
+				qt.Check(t, err, qt.IsNil)
+			}
+		})
+	}
+	o.Close()
+	writers.Wait()
+	_, err := o.Write([]byte("late\n"))
+	qt.Assert(t, err, qt.IsNil)
+}
--- a/lib/selector/record.go
+++ b/lib/selector/record.go
@@ -62,6 +62,8 @@
 	// load is how many calls of other hosts the leaf had when it last said so.
 	load   float64
 	loadAt time.Time
+	// answered is when the leaf last answered anything.
+	answered time.Time
 	// streak counts calls in a row that did not reach the leaf; it is not called before until.
 	streak int
 	until  time.Time
--- a/lib/selector/ticket.go
+++ b/lib/selector/ticket.go
@@ -63,14 +63,14 @@
 	age := now.Sub(k.sent)
 	switch end {
 	case Answered:
-		r.reached()
+		r.reached(now)
 		r.measure(age, k.typical, now)
 		r.count(0, now)
 	case Shed:
-		r.reached()
+		r.reached(now)
 		r.count(1, now)
 	case Erred:
-		r.reached()
+		r.reached(now)
 		r.count(1, now)
 	case Unreachable:
 		r.shut(now)
@@ -97,8 +97,8 @@
 }
 
 // reached notes that the leaf has answered something.
-func (r *record) reached() {
-	r.streak, r.until, r.ghost = 0, time.Time{}, time.Time{}
+func (r *record) reached(now time.Time) {
+	r.streak, r.until, r.ghost, r.answered = 0, time.Time{}, time.Time{}, now
 }
 
 // shut keeps calls away for a time that doubles with each failure in a row.
