Ignore the signal for changed settings from before the runtime starts

Change: a constructor sets the signal to be ignored before the Go runtime starts, which keeps it ignored. The process test waits for the first log line instead of asking the readiness address in a loop: with a process that had ended it waited until the test's own timeout. Both tests fail when the constructor sets the default action.

--- a/fleetd/command/command.go
+++ b/fleetd/command/command.go
@@ -23,8 +23,6 @@
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// The settings are read at the start only; a reload must not end the process.
-	signal.Ignore(syscall.SIGHUP)
 	return commander.Exit(root().ExecuteContext(ctx))
 }
 
--- a/fleetd/main.go
+++ b/fleetd/main.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 
 	"lycheelift.example/fleetd/command"
+	_ "lycheelift.example/fleetd/ignorer" // Ignores SIGHUP from before the runtime starts.
 )
 
 // collectPercent is the growth of the heap in percent after which garbage is collected. Memory is priced at its peak.
--- /dev/null
+++ b/fleetd/process_test.go
@@ -0,0 +1,74 @@
+package main_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// build makes the program.
+func build(t *testing.T) string {
+	binary := filepath.Join(t.TempDir(), "fleetd")
+	out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", out))
+	return binary
+}
+
+// settings writes the settings of an entry host and returns their path and the address of its readiness check.
+func settings(t *testing.T, extra string) (path, ready string) {
+	port := func() string {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
+	}
+	ready = port()
+	text := fmt.Sprintf("name = \"entry\"\ncenter = \"a\"\naddress = \"127.0.0.1\"\nports = [7740, 7749]\nseeds = [\"127.0.0.1:1\"]\n%s[listen]\ncallers = %q\nready = %q\n[bounds]\ngrace = \"1s\"\n",
+		extra, port(), ready)
+	path = filepath.Join(t.TempDir(), "fleetd.toml")
+	qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	return path, ready
+}
+
+// Guards against a process that ends when it is told of changed settings, and against one that does not stop when it is
+// asked to. Package ignorer guards the time before the first log line.
+func TestHangUpEndsNothing(t *testing.T) {
+	path, _ := settings(t, "")
+	c := exec.Command(build(t), "entry", "--settings", path)
+	out, err := c.StdoutPipe()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.Start(), qt.IsNil)
+	lines := bufio.NewReader(out)
+	_, err = lines.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	for range 20 {
+		qt.Check(t, c.Process.Signal(syscall.SIGHUP), qt.IsNil)
+	}
+	qt.Assert(t, c.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	_, err = io.Copy(io.Discard, lines)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.Wait(), qt.IsNil)
+}
+
+// Guards against settings of which only the first fault is named, and against a start on such settings.
+func TestFaultySettings(t *testing.T) {
+	binary := build(t)
+	path, _ := settings(t, "colour = \"red\"\ntolerance = -1\nfirst = 1\n")
+	for _, command := range []string{"check", "entry", "control"} {
+		out, err := exec.Command(binary, command, "--settings", path).CombinedOutput()
+		var exit *exec.ExitError
+		qt.Assert(t, err, qt.ErrorAs, &exit)
+		qt.Assert(t, exit.ExitCode(), qt.Equals, 2)
+		for _, key := range []string{"colour", "tolerance", "first"} {
+			qt.Check(t, string(out), qt.Contains, key)
+		}
+	}
+}
