--- a/fleetd/exchanger/exchanger.go
+++ b/fleetd/exchanger/exchanger.go
@@ -54,6 +54,9 @@
 	clock    func() time.Time
 	dial     func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 
+	// writers holds write buffers, which are needed for a moment only.
+	writers sync.Pool
+
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*pool
 	stats Stats
@@ -77,6 +80,7 @@
 	dialer := &net.Dialer{}
 	e := &Exchanger{
 		protocol: protocol, clock: clock, pools: make(map[netip.AddrPort]*pool),
+		writers: sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }},
 		dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address.String())
 		},
@@ -154,7 +158,12 @@
 func (e *Exchanger) write(l *link, c *carrier.Call) (<-chan error, error) {
 	done := make(chan error, 1)
 	send := func() error {
-		w := bufio.NewWriterSize(l.conn, bufferSize)
+		w := e.writers.Get().(*bufio.Writer) //nolint:forcetypeassert // The pool holds nothing else.
+		w.Reset(l.conn)
+		defer func() {
+			w.Reset(nil) // Forgets the connection and what could not be written.
+			e.writers.Put(w)
+		}()
 		if err := e.protocol.Write(w, c, e.clock()); err != nil {
 			return err
 		}
--- a/lib/merger/merger_test.go
+++ b/lib/merger/merger_test.go
@@ -1,7 +1,10 @@
 package merger_test
 
 import (
+	"bytes"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
@@ -27,3 +30,24 @@
 	qt.Assert(t, string(merger.Merge(parts, 9)), qt.Equals, record("b")+record("b")+record("b"))
 	qt.Assert(t, merger.Merge(parts, 0), qt.HasLen, 0)
 }
+
+// Guards against records that are kept in place of greater ones, whatever their order, and against parts that change.
+func TestMergeKeepsTheGreatest(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		var all []string
+		parts := make([][]byte, random.IntN(5))
+		for i := range parts {
+			for range random.IntN(20) {
+				r := record(string(rune('a' + random.IntN(6))))
+				all, parts[i] = append(all, r), append(parts[i], r...)
+			}
+		}
+		before := bytes.Join(parts, nil)
+		top := random.IntN(30)
+		slices.Sort(all)
+		slices.Reverse(all)
+		qt.Assert(t, string(merger.Merge(parts, top)), qt.Equals, strings.Join(all[:min(top, len(all))], ""))
+		qt.Assert(t, bytes.Join(parts, nil), qt.DeepEquals, before)
+	}
+}
