Divide queries over many shards among the entry hosts of a data centre

Cause: on the grown sites every host called 36 or 54 shards by itself. 45 KB of parts take 18 ms of a 20 Mbit/s link, the calls take 20 ms of a fifth of a core, a host sees each leaf too rarely to know it, and 83 hosts do not fit into a leaf's 74 connections. Change: a query over twice as many shards as the setting portion (9) is divided. Each portion has a few responsible hosts in each data centre by rendezvous order; they ask its leaves, merge the parts and send the greatest records with the parts' signatures, first at the portion's aim and then whenever more parts are in. Control hosts tell entry hosts of each other. lib/divider chooses the hosts, lib/assembler decides when the portions suffice. A host that stops declines, and the portion is gathered by the host that the caller asked; the portion of a host that is lost is not asked again, because more leaves than the route permits could get the request. A host that gives nothing in time is not asked for 2 s. Ruled out: the relay of single calls (the owner hop of design.md), which leaves the bytes and the work where they are.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -14,6 +14,7 @@
 	"lycheelift.example/fleetd/gauger"
 	"lycheelift.example/lib/budgeter"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/divider"
 	"lycheelift.example/lib/estimator"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/selector"
@@ -63,6 +64,10 @@
 	metrics  *metrics
 	gauge    *gauger.Gauger
 	cut      atomic.Bool
+	// helper has portions of at most portion shards gathered by the hosts that divider chooses; nil without helpers.
+	helper  Helper
+	portion int
+	divider *divider.Table
 	// gauged is when the evidence was last looked at, Unix time in nanoseconds.
 	gauged atomic.Int64
 }
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -34,6 +34,7 @@
 	reasonLost        = callerv1.Reason_REASON_CONNECTION_LOST
 	reasonServerError = callerv1.Reason_REASON_SERVER_ERROR
 	reasonDeadline    = callerv1.Reason_REASON_DEADLINE
+	reasonCoverage    = callerv1.Reason_REASON_COVERAGE
 	reasonNoReplica   = callerv1.Reason_REASON_NO_REPLICA
 )
 
--- /dev/null
+++ b/fleetd/answerer/divide_test.go
@@ -0,0 +1,180 @@
+package answerer_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/fleetd/answerer"
+	"lycheelift.example/lib/carrier"
+)
+
+// helpers are the other hosts of a data centre, which see the same leaves.
+type helpers struct {
+	mu sync.Mutex
+	// gather answers for a host; by default the host gathers as it should.
+	gather map[string]func(ctx context.Context, p *answerer.Portion, give func(*answerer.Parts)) error
+	hosts  map[string]*answerer.Answerer
+	asked  map[string]int
+}
+
+func (h *helpers) Usable(string) bool { return true }
+
+func (h *helpers) Gather(ctx context.Context, host string, p *answerer.Portion, give func(*answerer.Parts)) error {
+	h.mu.Lock()
+	h.asked[host]++
+	gather := h.gather[host]
+	h.mu.Unlock()
+	if gather != nil {
+		return gather(ctx, p, give)
+	}
+	h.hosts[host].Gather(ctx, p, give)
+	return ctx.Err()
+}
+
+const divided = 36
+
+// newHelpers returns a fleet of 36 shards, a host that divides its queries, and the hosts that help it.
+func newHelpers() (*fleet, *answerer.Answerer, *helpers) {
+	f := newFleet(divided)
+	h := &helpers{
+		gather: make(map[string]func(context.Context, *answerer.Portion, func(*answerer.Parts)) error),
+		hosts:  make(map[string]*answerer.Answerer), asked: make(map[string]int),
+	}
+	for i := range 8 {
+		name := fmt.Sprintf("h%d", i)
+		f.view.Helpers = append(f.view.Helpers, name)
+		h.hosts[name] = f.answerer()
+	}
+	f.view.Helpers = append(f.view.Helpers, "self")
+	bounds := answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+	a := answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithRandom(func() float64 { return 0 }), answerer.WithHelpers("self", 9, h))
+	return f, a, h
+}
+
+// whole checks an answer that holds every part.
+func whole(t *testing.T, reply *carrier.Reply) {
+	qt.Assert(t, reply.Outcome, qt.Equals, carrier.Gathered)
+	qt.Assert(t, reply.Missing, qt.Equals, 0)
+	qt.Assert(t, reply.Stamps, qt.HasLen, divided)
+	seen := make(map[string]bool)
+	for _, s := range reply.Stamps {
+		seen[s] = true
+	}
+	qt.Assert(t, seen, qt.HasLen, divided)
+	qt.Assert(t, string(reply.Body), qt.Equals, fmt.Sprintf("%-16s%-16s%-16s", "s9a", "s8a", "s7a"))
+}
+
+// Load: 36 shards on hosts with a fifth of a core. Guards against an answer that is not that of a single host, and
+// against a host that asks every leaf by itself.
+func TestDividedAnswerIsWhole(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f, a, h := newHelpers()
+		reply, took := ask(a, "/all/2f")
+		whole(t, reply)
+		qt.Assert(t, took, qt.Equals, typical)
+		qt.Assert(t, f.called(), qt.Equals, divided)
+		qt.Assert(t, len(h.asked) > 1, qt.IsTrue)
+		a.Sweep(time.Now())
+	})
+}
+
+// breakAll makes every helper answer in one way.
+func (h *helpers) breakAll(gather func(ctx context.Context, p *answerer.Portion, give func(*answerer.Parts)) error) {
+	for name := range h.hosts {
+		h.gather[name] = gather
+	}
+}
+
+// Load: hosts are stopped in turn. Guards against parts that are lost because a host that stops declines them.
+func TestDeclinedPortionIsGatheredHere(t *testing.T) {
+	each(t, func(t *testing.T) {
+		_, a, h := newHelpers()
+		h.breakAll(func(context.Context, *answerer.Portion, func(*answerer.Parts)) error { return answerer.ErrDeclined })
+		reply, _ := ask(a, "/all/2f")
+		whole(t, reply)
+	})
+}
+
+// Load: a host is killed while it gathers. Guards against shards that are asked once more by this host, which could
+// reach more leaves than the route permits, and against a caller who is held.
+func TestPortionOfALostHostIsNotAskedAgain(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f, a, h := newHelpers()
+		h.breakAll(func(context.Context, *answerer.Portion, func(*answerer.Parts)) error { return context.DeadlineExceeded })
+		reply, took := ask(a, "/all/2f")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Failed)
+		qt.Assert(t, f.called() < divided, qt.IsTrue)
+		qt.Assert(t, took < target, qt.IsTrue)
+	})
+}
+
+// Load: a host freezes while it gathers. Guards against a caller who is held until the deadline, and against queries
+// that go on to lose their portions to the host.
+func TestFrozenHelperIsLeftAlone(t *testing.T) {
+	each(t, func(t *testing.T) {
+		_, a, h := newHelpers()
+		h.breakAll(func(ctx context.Context, _ *answerer.Portion, _ func(*answerer.Parts)) error {
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		failed := 0
+		for range 10 {
+			reply, took := ask(a, "/all/2f")
+			qt.Assert(t, took <= 2*target, qt.IsTrue)
+			if reply.Outcome != carrier.Gathered {
+				failed++
+			}
+		}
+		qt.Assert(t, failed > 0 && failed <= 2, qt.IsTrue, qt.Commentf("%d of 10", failed))
+	})
+}
+
+// Load: a leaf in each of two portions hangs. Guards against answers below the least coverage, and against parts that
+// come after the target and are not told.
+func TestPartsAfterTheTargetAreTold(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f, a, _ := newHelpers()
+		for _, shard := range []int{3, 4, 20, 21, 30} {
+			for _, center := range []string{"a", "b", "c"} {
+				name := fmt.Sprintf("s%d%s", shard, center)
+				f.leaves[name] = f.answers(name, target+10*time.Millisecond)
+			}
+		}
+		reply, took := ask(a, "/all/2f")
+		whole(t, reply)
+		qt.Assert(t, took, qt.Equals, target+10*time.Millisecond)
+	})
+}
+
+// Guards against work that goes on for a caller who has left.
+func TestCallersWhoLeaveEndThePortions(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f, a, _ := newHelpers()
+		for name := range f.leaves {
+			f.leaves[name] = hangs
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		time.AfterFunc(20*time.Millisecond, cancel)
+		began := time.Now()
+		reply := a.Answer(ctx, &carrier.Request{ID: "x", Host: "n", Path: "/all/1", Target: "/all/1", Received: began, Wait: time.Minute})
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Abandoned)
+		qt.Assert(t, time.Since(began), qt.Equals, 20*time.Millisecond)
+		// The bubble ends only when every call has ended.
+	})
+}
+
+// Load: every leaf is gone. Guards against a caller who is held though nothing can be answered.
+func TestDividedQueryWithoutLeavesEndsAtOnce(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f, a, _ := newHelpers()
+		clear(f.view.Holders)
+		reply, took := ask(a, "/all/2f")
+		qt.Assert(t, reply.Outcome == carrier.Failed || reply.Outcome == carrier.Refused, qt.IsTrue)
+		qt.Assert(t, took, qt.Equals, time.Duration(0))
+	})
+}
--- a/fleetd/answerer/metrics.go
+++ b/fleetd/answerer/metrics.go
@@ -22,6 +22,8 @@
 	calls    map[planner.CallKind]tally.Counter
 	failures map[callerv1.Reason]tally.Counter
 	latency  tally.Histogram
+	// portions counts the portions of divided queries that this host gathered.
+	portions tally.Counter
 }
 
 var callNames = map[planner.CallKind]string{
@@ -31,8 +33,8 @@
 func newMetrics(s tally.Scope) *metrics {
 	m := &metrics{
 		outcomes: make(map[carrier.Outcome]tally.Counter), calls: make(map[planner.CallKind]tally.Counter),
-		failures: make(map[callerv1.Reason]tally.Counter),
-		latency:  s.Histogram("request_duration", tally.MustMakeExponentialDurationBuckets(firstBucket, 2, bucketCount)),
+		failures: make(map[callerv1.Reason]tally.Counter), portions: s.Counter("portions"),
+		latency: s.Histogram("request_duration", tally.MustMakeExponentialDurationBuckets(firstBucket, 2, bucketCount)),
 	}
 	for outcome, name := range outcomeNames {
 		m.outcomes[outcome] = s.Tagged(map[string]string{"outcome": name}).Counter("requests")
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -41,6 +41,12 @@
 	// response is the last response of a leaf that is not usable but may be passed on.
 	response *carrier.Answer
 	skipped  int
+	// The rest is set for a portion of another query: how many shards may be skipped, when the parts that are in are
+	// wanted, who gets them, and how many parts have been given.
+	spare  int
+	wanted time.Time
+	give   func(*Parts)
+	given  int
 	// unreachable is set when the request failed for want of reachable leaves.
 	unreachable bool
 
@@ -101,6 +107,9 @@
 	if !q.deadline.After(now) {
 		return &carrier.Reply{Outcome: carrier.Refused, Reason: "the deadline has passed"}
 	}
+	if q.answerer.divides(q.view, q.shards) {
+		return q.gatherDivided(ctx)
+	}
 	for _, name := range q.shards {
 		q.answerer.budget.Request(name, now)
 	}
@@ -121,7 +130,7 @@
 
 // target returns when the answer should be given, or the zero time.
 func (q *query) target() time.Time {
-	if q.route.Target <= 0 || len(q.route.Gather) == 0 {
+	if q.route.Target <= 0 || len(q.route.Gather) == 0 || q.give != nil {
 		return time.Time{}
 	}
 	margin := min(replyTime, q.route.Target/replyShare)
@@ -145,16 +154,21 @@
 	defer timer.Stop()
 	event := planner.Event{Kind: planner.Start}
 	done := ctx.Done()
+	aim, stop := q.aimTimer()
+	defer stop()
 	for {
 		if reply := q.act(ctx, q.plan.Step(event, a.clock()), timer); reply != nil {
 			q.settle()
 			return reply
 		}
+		q.news(a.clock())
 		select {
 		case r := <-q.results:
 			event = q.ended(r)
 		case <-timer.C:
 			event = planner.Event{Kind: planner.Elapsed}
+		case <-aim:
+			event = planner.Event{Kind: planner.Elapsed}
 		case <-done:
 			event, done = planner.Event{Kind: planner.Abandoned}, nil
 		}
--- a/fleetd/answerer/world.go
+++ b/fleetd/answerer/world.go
@@ -63,6 +63,9 @@
 	if len(q.route.Gather) == 0 {
 		return false
 	}
+	if q.give != nil {
+		return q.skipped < q.spare
+	}
 	left := len(q.shards) - q.skipped - 1
 	return float64(left) >= q.route.Least*float64(len(q.shards)) && left > 0
 }
--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -58,6 +58,12 @@
 	if m.GetEntries() > 0 {
 		next.Entries = int(m.GetEntries())
 	}
+	if h := m.GetHosts(); h != nil {
+		next.Helpers = make([]string, 0, len(h.GetHosts()))
+		for _, host := range h.GetHosts() {
+			next.Helpers = append(next.Helpers, host.GetAddress())
+		}
+	}
 	if m.GetSettled() {
 		next.Settled = now
 	}
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -33,8 +33,10 @@
 	follower *Follower
 	host     string
 	center   string
-	seeds    func() []string
-	clock    func() time.Time
+	// address is where this host gathers portions of other hosts' queries.
+	address string
+	seeds   func() []string
+	clock   func() time.Time
 
 	mu sync.Mutex
 	// controls are the control hosts of which the last message told.
@@ -45,9 +47,10 @@
 	address, center string
 }
 
-// NewClient returns a client that gives what it hears to a follower. Seeds returns addresses of control hosts.
-func NewClient(f *Follower, host, center string, seeds func() []string, clock func() time.Time) *Client {
-	return &Client{follower: f, host: host, center: center, seeds: seeds, clock: clock}
+// NewClient returns a client that gives what it hears to a follower. Address is where this host gathers portions of
+// other hosts' queries, empty if it does not; seeds returns addresses of control hosts.
+func NewClient(f *Follower, host, center, address string, seeds func() []string, clock func() time.Time) *Client {
+	return &Client{follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock}
 }
 
 // Run follows control hosts until ctx ends.
@@ -151,7 +154,7 @@
 // follow follows one control host until it goes silent or loses its leader.
 // Claim reports whether to go on with this stream; it is asked at each message.
 func (c *Client) follow(ctx context.Context, address string, claim func(settled bool) bool) error {
-	request := &peerv1.FollowRequest{Host: c.host, Center: c.center, Version: c.follower.View().Version()}
+	request := &peerv1.FollowRequest{Host: c.host, Center: c.center, Address: c.address, Version: c.follower.View().Version()}
 	settled, first := c.clock(), true
 	return linker.Follow(ctx, address, request, func(m *peerv1.FollowResponse) error {
 		if !claim(m.GetSettled()) {
--- a/fleetd/follower/run_test.go
+++ b/fleetd/follower/run_test.go
@@ -73,7 +73,7 @@
 	f := follower.New(decode, time.Now())
 	mute := silent(t)
 	seeds := func() []string { return []string{mute, first.address} }
-	client := follower.NewClient(f, "entry", "a", seeds, time.Now)
+	client := follower.NewClient(f, "entry", "a", "", seeds, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/fleetd/follower/view.go
+++ b/fleetd/follower/view.go
@@ -20,6 +20,8 @@
 	Evacuated map[string]bool
 	// Entries is the number of entry hosts, at least 1.
 	Entries int
+	// Helpers are the addresses of the entry hosts of this host's data centre, this one among them.
+	Helpers []string
 	// Index is the newest record of the replicated log that is included.
 	Index uint64
 	// Settled is when this host last heard from a control host in contact with a leader.
--- /dev/null
+++ b/fleetd/helper/helper_test.go
@@ -0,0 +1,137 @@
+package helper_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc"
+
+	"lycheelift.example/fleetd/answerer"
+	"lycheelift.example/fleetd/helper"
+	"lycheelift.example/lib/carrier"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+// gatherer gives two messages, or waits for the end of the context.
+type gatherer struct {
+	got  atomic.Pointer[answerer.Portion]
+	hang bool
+	left chan struct{}
+}
+
+func (g *gatherer) Gather(ctx context.Context, p *answerer.Portion, give func(*answerer.Parts)) {
+	g.got.Store(p)
+	if g.hang {
+		<-ctx.Done()
+		close(g.left)
+		return
+	}
+	give(&answerer.Parts{Stamps: []string{"x"}, Records: []byte("0123456789abcdef")})
+	give(&answerer.Parts{Stamps: []string{"x", "y"}, Records: []byte("0123456789abcdef"), Last: true})
+}
+
+// serve starts the service and returns its address.
+func serve(t *testing.T, g *gatherer, declines bool) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	server := grpc.NewServer()
+	peerv1.RegisterGatherServiceServer(server, helper.NewService(g, func() bool { return declines }, time.Now))
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	return listener.Addr().String()
+}
+
+// connected waits until a host can be asked.
+func connected(c *helper.Client, host string) {
+	for !c.Usable(host) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func portion() *answerer.Portion {
+	now := time.Now()
+	return &answerer.Portion{
+		Request: &carrier.Request{ID: "1", Method: http.MethodGet, Host: "n", Target: "/a?b=c", Header: http.Header{"Request-Id": {"1"}, "X": {"2", "3"}}, Body: []byte("q")},
+		Route:   "r", Goal: 80 * time.Millisecond, Services: []string{"s", "t"}, Top: 5, Attempts: 2, Spare: 1, Asker: "me", Version: 7,
+		Aim: now.Add(time.Minute), Deadline: now.Add(2 * time.Minute),
+	}
+}
+
+// Guards against a portion that arrives changed, and against news of parts that is lost.
+func TestPortionIsGatheredByAnotherHost(t *testing.T) {
+	g := &gatherer{}
+	host := serve(t, g, false)
+	c := helper.NewClient(time.Now)
+	connected(c, host)
+	want := portion()
+	var parts []*answerer.Parts
+	err := c.Gather(context.Background(), host, want, func(p *answerer.Parts) { parts = append(parts, p) })
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, parts, qt.HasLen, 2)
+	qt.Assert(t, parts[1].Stamps, qt.DeepEquals, []string{"x", "y"})
+	qt.Assert(t, string(parts[1].Records), qt.Equals, "0123456789abcdef")
+	qt.Assert(t, parts[0].Last, qt.IsFalse)
+	qt.Assert(t, parts[1].Last, qt.IsTrue)
+	got := *g.got.Load()
+	request := *got.Request
+	qt.Assert(t, request.Header, qt.DeepEquals, want.Request.Header)
+	qt.Assert(t, request.Target+request.Host+request.Method+request.ID+string(request.Body), qt.Equals, "/a?b=cnGET1q")
+	qt.Assert(t, got.Deadline.Sub(got.Aim), qt.Equals, time.Minute)
+	qt.Assert(t, got.Services, qt.DeepEquals, want.Services)
+	got.Request, got.Aim, got.Deadline = want.Request, want.Aim, want.Deadline
+	qt.Assert(t, got, qt.DeepEquals, *want)
+}
+
+// Guards against a portion that a stopping host takes, and against a decline that looks like a loss.
+func TestStoppingHostDeclines(t *testing.T) {
+	g := &gatherer{}
+	host := serve(t, g, true)
+	c := helper.NewClient(time.Now)
+	connected(c, host)
+	err := c.Gather(context.Background(), host, portion(), func(*answerer.Parts) { t.Error("parts were given") })
+	qt.Assert(t, err, qt.ErrorIs, answerer.ErrDeclined)
+	qt.Assert(t, g.got.Load(), qt.IsNil)
+	c.Keep(nil)
+	err = c.Gather(context.Background(), host, portion(), nil)
+	qt.Assert(t, err, qt.ErrorIs, answerer.ErrDeclined)
+}
+
+// Guards against work that goes on at another host for a caller who has left, and against a connection that is kept
+// though it has gone silent.
+func TestGivenUpPortionEndsAtTheOtherHost(t *testing.T) {
+	g := &gatherer{hang: true, left: make(chan struct{})}
+	host := serve(t, g, false)
+	c := helper.NewClient(time.Now)
+	connected(c, host)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := portion()
+	p.Aim = time.Now() // It has passed when the portion is given up.
+	go func() {
+		for g.got.Load() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	err := c.Gather(ctx, host, p, func(*answerer.Parts) { t.Error("parts were given") })
+	qt.Assert(t, err, qt.IsNotNil)
+	<-g.left
+	err = c.Gather(context.Background(), host, p, nil)
+	qt.Assert(t, err, qt.ErrorIs, answerer.ErrDeclined, qt.Commentf("the connection is still there"))
+}
+
+// Guards against portions that are sent to a host that cannot be reached.
+func TestUnreachableHostIsNotUsable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := listener.Addr().String()
+	qt.Assert(t, listener.Close(), qt.IsNil)
+	c := helper.NewClient(time.Now)
+	qt.Assert(t, c.Usable(address), qt.IsFalse)
+	qt.Assert(t, c.Usable("no address"), qt.IsFalse)
+	c.Keep(nil)
+}
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -1,6 +1,7 @@
 package keeper
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -42,6 +43,7 @@
 	settled  bool
 	entries  uint32
 	controls int
+	hosts    []*peerv1.EntryHost
 	centers  []string
 	departed map[string]uint64
 	sent     time.Time
@@ -51,9 +53,9 @@
 func (s *Service) Follow(request *peerv1.FollowRequest, out peerv1.FollowService_FollowServer) error {
 	k := s.keeper
 	eventer.FollowerJoined.Log(k.clock(), "host", request.GetHost(), "center", request.GetCenter(), "control", request.GetControl(), "version", request.GetVersion())
-	k.count(request, 1)
+	k.joined(request)
 	defer func() {
-		k.count(request, -1)
+		k.left(request)
 		eventer.FollowerLeft.Log(k.clock(), "host", request.GetHost())
 	}()
 	f := &stream{keeper: k, request: request, version: request.GetVersion(), departed: make(map[string]uint64)}
@@ -101,7 +103,7 @@
 		m.Controls = controls
 		f.controls = len(controls)
 	}
-	changed = changed || m.GetEntries() != f.entries
+	changed = f.entryHosts(m, now) || m.GetEntries() != f.entries || changed
 	if !changed {
 		return nil
 	}
@@ -109,6 +111,22 @@
 	return m
 }
 
+// entryHosts adds the entry hosts, if they are not those that the follower was told of.
+func (f *stream) entryHosts(m *peerv1.FollowResponse, now time.Time) bool {
+	var hosts []*peerv1.EntryHost
+	if f.request.GetControl() {
+		hosts = f.keeper.ownHosts()
+	} else {
+		hosts = f.keeper.hostsOf(f.request.GetCenter(), now)
+	}
+	if f.started && slices.EqualFunc(hosts, f.hosts, sameHost) {
+		return false
+	}
+	f.hosts = hosts
+	m.Hosts = &peerv1.EntryHosts{Hosts: hosts}
+	return true
+}
+
 // state adds what entry hosts are told of the replicated state.
 func (f *stream) state(m *peerv1.FollowResponse, view store.View) bool {
 	changed := false
@@ -117,7 +135,7 @@
 		f.version = view.Document.GetVersion()
 		changed = true
 	}
-	if !f.started || !equal(f.centers, view.Evacuated) {
+	if !f.started || !slices.Equal(f.centers, view.Evacuated) {
 		m.Evacuated = &peerv1.Evacuated{Centers: view.Evacuated}
 		f.centers = view.Evacuated
 		changed = true
@@ -131,15 +149,3 @@
 	f.departed = view.Departures
 	return changed
 }
-
-func equal(a, b []string) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -50,25 +50,20 @@
 	mu sync.Mutex
 	// followers counts the entry hosts that follow this host; others holds the counts of the other control hosts.
 	followers int
-	others    map[string]count
+	others    map[string]other
+	// streams counts the streams of each entry host that follows this host.
+	streams map[follower]int
 	// controls are the addresses at which control hosts serve leaves and operators, by host.
 	control netip.AddrPort
 	peer    string
 }
 
-type count struct {
-	entries int
-	heard   time.Time
-	center  string
-	control string
-}
-
 // New returns a keeper. Control is the address at which this host serves leaves and operators, and peer that at which
 // it serves other hosts.
 func New(host, center string, control netip.AddrPort, peer string, s *store.Store, log Log, clock func() time.Time) *Keeper {
 	return &Keeper{
 		host: host, center: center, control: control, peer: peer, store: s, log: log, clock: clock,
-		roster: enroller.New(), others: make(map[string]count),
+		roster: enroller.New(), others: make(map[string]other), streams: make(map[follower]int),
 	}
 }
 
--- a/fleetd/keeper/keeper_test.go
+++ b/fleetd/keeper/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"lycheelift.example/fleetd/keeper"
 	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/router"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
@@ -145,3 +147,74 @@
 	w.status = replica.Status{Heard: start}
 	qt.Assert(t, w.keeper.Settled(start), qt.IsFalse)
 }
+
+// Guards against entry hosts that are not told of each other, against one that stays listed when it is gone, and
+// against one that is dropped because an older stream of it ends.
+func TestEntryHostsLearnOfEachOther(t *testing.T) {
+	w := newWorld()
+	join := func(center, address string) (context.CancelFunc, func() *peerv1.FollowResponse) {
+		out := newRecorder()
+		go func() {
+			_ = keeper.NewService(w.keeper, nil).Follow(&peerv1.FollowRequest{Host: address, Center: center, Address: address}, out)
+		}()
+		return out.cancel, func() *peerv1.FollowResponse {
+			for {
+				if m := <-out.sent; m.GetHosts() != nil {
+					return m
+				}
+			}
+		}
+	}
+	addresses := func(m *peerv1.FollowResponse) []string {
+		out := []string{}
+		for _, h := range m.GetHosts().GetHosts() {
+			out = append(out, h.GetAddress())
+		}
+		return out
+	}
+	leaveFirst, first := join("a", "10.0.0.8:1")
+	defer leaveFirst()
+	qt.Assert(t, addresses(first()), qt.DeepEquals, []string{"10.0.0.8:1"})
+	leaveOther, other := join("b", "10.0.0.9:1")
+	defer leaveOther()
+	qt.Assert(t, addresses(other()), qt.DeepEquals, []string{"10.0.0.9:1"})
+	leaveSecond, second := join("a", "10.0.0.7:1")
+	qt.Assert(t, addresses(second()), qt.DeepEquals, []string{"10.0.0.7:1", "10.0.0.8:1"})
+	qt.Assert(t, addresses(first()), qt.DeepEquals, []string{"10.0.0.7:1", "10.0.0.8:1"})
+	leaveAgain, again := join("a", "10.0.0.7:1")
+	qt.Assert(t, addresses(again()), qt.DeepEquals, []string{"10.0.0.7:1", "10.0.0.8:1"})
+	leaveSecond()
+	leaveThird, third := join("a", "10.0.0.6:1")
+	defer leaveThird()
+	qt.Assert(t, addresses(third()), qt.DeepEquals, []string{"10.0.0.6:1", "10.0.0.7:1", "10.0.0.8:1"})
+	leaveAgain()
+	for want := []string{"10.0.0.6:1", "10.0.0.8:1"}; ; {
+		if have := addresses(first()); slices.Equal(have, want) {
+			break
+		}
+	}
+}
+
+// recorder is the server's side of a stream; it keeps what is sent.
+type recorder struct {
+	peerv1.FollowService_FollowServer
+	ctx    context.Context //nolint:containedctx // A stream carries its context.
+	cancel context.CancelFunc
+	sent   chan *peerv1.FollowResponse
+}
+
+func newRecorder() *recorder {
+	r := &recorder{sent: make(chan *peerv1.FollowResponse, 100)}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	return r
+}
+
+func (r *recorder) Context() context.Context { return r.ctx }
+
+func (r *recorder) Send(m *peerv1.FollowResponse) error {
+	select {
+	case r.sent <- m:
+	case <-r.ctx.Done():
+	}
+	return nil
+}
--- a/fleetd/keeper/peers.go
+++ b/fleetd/keeper/peers.go
@@ -18,33 +18,8 @@
 	peersInterval = 200 * time.Millisecond
 	// againInterval is the wait before a control host that was lost is followed again.
 	againInterval = 200 * time.Millisecond
-	// countTime is the time for which a control host's count of entry hosts holds.
-	countTime = 10 * time.Second
 )
 
-// count notes that an entry host begins or ends to follow this host.
-func (k *Keeper) count(request *peerv1.FollowRequest, change int) {
-	if request.GetControl() {
-		return
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.followers += change
-}
-
-// entries returns the number of entry hosts that follow any control host, and of those that follow this one.
-func (k *Keeper) entries(now time.Time) (all, own uint32) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	total := k.followers
-	for _, c := range k.others {
-		if now.Sub(c.heard) < countTime {
-			total += c.entries
-		}
-	}
-	return uint32(total), uint32(k.followers) //nolint:gosec // Numbers of hosts.
-}
-
 // hosts returns the control hosts that followers may turn to: the members of the group.
 func (k *Keeper) hosts() []*peerv1.ControlHost {
 	out := []*peerv1.ControlHost{{Address: k.peer, Center: k.center}}
@@ -140,5 +115,10 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.others[address] = count{entries: int(m.GetFollowers()), heard: now, center: m.GetCenter(), control: m.GetControl()}
+	other := k.others[address]
+	other.entries, other.heard, other.center, other.control = int(m.GetFollowers()), now, m.GetCenter(), m.GetControl()
+	if m.GetHosts() != nil {
+		other.hosts = m.GetHosts().GetHosts()
+	}
+	k.others[address] = other
 }
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -2,19 +2,26 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"github.com/samber/oops"
+	"google.golang.org/grpc"
+
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/fleetd/follower"
+	"lycheelift.example/fleetd/helper"
+	"lycheelift.example/fleetd/linker"
 	"lycheelift.example/fleetd/receiver"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/platform"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
-// sweepInterval is the time between two looks for connections to leaves that have expired.
+// sweepInterval is the time between two looks for connections that are not needed any more.
 const sweepInterval = time.Second
 
 // Entry serves an entry host until ctx ends.
@@ -24,13 +31,14 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	follow := follower.New(platform.DecodeDocument, clock())
-	client := follower.NewClient(follow, s.Name, s.Center, s.controls, clock)
+	client := follower.NewClient(follow, s.Name, s.Center, s.peers.String(), s.controls, clock)
 	go client.Run(running)
 	exchange := exchanger.New(platform.Leaf{}, clock)
-	go sweep(running, exchange, clock)
+	help := helper.NewClient(clock)
 	answer := answerer.New(s.Name, s.Center, follow, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
-	}, clock, answerer.WithScope(metrics.Scope))
+	}, clock, answerer.WithScope(metrics.Scope), answerer.WithHelpers(s.peers.String(), s.Portion, help))
+	go sweep(running, clock, exchange.Sweep, answer.Sweep, func(time.Time) { help.Keep(follow.View().Helpers) })
 	limits := func() router.Limits {
 		if t := follow.View().Table; t != nil {
 			return t.Document().Limits
@@ -46,6 +54,11 @@
 		}
 	}()
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
+	go func() {
+		if err := servePortions(running, s, helper.NewService(answer, receive.Stopping, clock)); err != nil {
+			eventer.ServeFailed.Log(clock(), "address", s.bind, "error", err.Error())
+		}
+	}()
 	eventer.Started.Log(clock(), "host", s.Name, "role", "entry", "center", s.Center, "callers", s.Listen.Callers, "seeds", s.Seeds)
 	go func() {
 		<-ctx.Done()
@@ -56,7 +69,22 @@
 	return err
 }
 
-func sweep(ctx context.Context, e *exchanger.Exchanger, clock func() time.Time) {
+// servePortions serves the other entry hosts until ctx ends.
+func servePortions(ctx context.Context, s *Settings, service *helper.Service) error {
+	_, options := linker.Options()
+	peers := grpc.NewServer(options...)
+	peerv1.RegisterGatherServiceServer(peers, service)
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.bind)
+	if err != nil {
+		return oops.In("server").Wrapf(err, "listen on %s", s.bind)
+	}
+	stop := context.AfterFunc(ctx, peers.Stop)
+	defer stop()
+	return oops.In("server").Wrapf(peers.Serve(listener), "serve %s", s.bind)
+}
+
+// sweep calls each function now and then until ctx ends.
+func sweep(ctx context.Context, clock func() time.Time, functions ...func(now time.Time)) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -64,7 +92,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			e.Sweep(clock())
+			for _, f := range functions {
+				f(clock())
+			}
 		}
 	}
 }
--- a/lib/eventer/query.go
+++ b/lib/eventer/query.go
@@ -14,4 +14,6 @@
 	RequestEnded     = frequent(1010, Info, "request answered")
 	RequestFailed    = frequent(1011, Warning, "request not answered")
 	CallFailed       = frequent(1012, Info, "leaf call failed")
+	PortionEnded     = frequent(1013, Info, "portion of a query gathered")
+	PortionLost      = frequent(1014, Warning, "portion of a query was not gathered by the host that was asked")
 )
--- a/schema/gen/settings/fleetd/fleetd.go
+++ b/schema/gen/settings/fleetd/fleetd.go
@@ -181,6 +181,10 @@
 	// Name of the host.
 	Name string `json:"name"`
 
+	// Number of shards that one entry host asks for a query at most; a query over
+	// twice as many is divided among the hosts of the data centre. 0 divides none.
+	Portion int `json:"portion,omitempty,omitzero"`
+
 	// First and last port for connections between own processes; the same on every
 	// host.
 	Ports []int `json:"ports"`
@@ -269,6 +273,15 @@
 	if utf8.RuneCountInString(string(plain.Name)) > 128 {
 		return fmt.Errorf("field %s length: must be <= %d", "name", 128)
 	}
+	if v, ok := raw["portion"]; !ok || v == nil {
+		plain.Portion = 9
+	}
+	if 1024 < plain.Portion {
+		return fmt.Errorf("field %s: must be <= %v", "portion", 1024)
+	}
+	if 0 > plain.Portion {
+		return fmt.Errorf("field %s: must be >= %v", "portion", 0)
+	}
 	if plain.Ports != nil && len(plain.Ports) < 2 {
 		return fmt.Errorf("field %s length: must be >= %d", "ports", 2)
 	}
