Tell parts 8 ms before the target, and keep connections elsewhere where they suffice

Cause: answers at twice the target (event 1010 with took of 60 ms for a target of 30 ms) were held because a whole portion's message, sent 3 ms before the target, came after it: both hosts have a fifth of a core. Hedges to other data centres paid 6 ms for a new connection, because unused ones were closed after 3 s. Change: the first parts are told 8 ms before the target; later ones are told one by one as before. Connections to other data centres' leaves are kept for 10 s unless a leaf has too few for all hosts.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	// localHold and remoteHold are the times for which an unused connection is kept. Leaves of other data centres are
-	// called rarely, and their connections are shared by more hosts.
-	localHold  = 10 * time.Second
-	remoteHold = 3 * time.Second
+	// hold is the time for which an unused connection is kept. scarceHold is that for a leaf of another data centre
+	// whose connections do not suffice for all hosts.
+	hold       = 10 * time.Second
+	scarceHold = 3 * time.Second
 	// leastShare is the least number of connections that a host may have to a leaf.
 	leastShare = 2
 	// mostShare bounds it while this host may not know of all the others, as after the loss of all hosts.
@@ -57,10 +57,13 @@
 	q.sent = append(q.sent, running)
 	running.out = &carrier.Call{
 		Request: q.request, Leaf: c.Target.Leaf.Name, Address: c.Target.Leaf.Address, Deadline: c.Sent.Add(c.Timeout),
-		Fresh: !q.route.Idempotent, Hold: localHold, Share: localFactor * q.share(c.Target.Leaf.Service),
+		Fresh: !q.route.Idempotent, Hold: hold, Share: localFactor * q.share(c.Target.Leaf.Service),
 	}
 	if c.Target.Leaf.Center != a.center {
-		running.out.Hold, running.out.Share = remoteHold, q.share(c.Target.Leaf.Service)
+		running.out.Share = q.share(c.Target.Leaf.Service)
+		if q.scarce(c.Target.Leaf.Service) {
+			running.out.Hold = scarceHold
+		}
 	}
 	results := q.results
 	go func() {
@@ -78,6 +81,13 @@
 	return min(max(leastShare, s.Connections/max(q.view.Entries, 1)), mostShare)
 }
 
+// scarce reports whether a leaf's connections do not suffice for the hosts that call it. A portion's leaves are called
+// by a few hosts of each data centre.
+func (q *query) scarce(service string) bool {
+	s, ok := q.view.Table.Service(service)
+	return ok && q.give == nil && s.Connections < leastShare*q.view.Entries
+}
+
 // cancel gives a call up whose shard has been answered.
 func (q *query) cancel(c planner.Call) {
 	if running, ok := q.running[c.Attempt]; ok {
--- a/fleetd/answerer/divide.go
+++ b/fleetd/answerer/divide.go
@@ -26,8 +26,11 @@
 var ErrDeclined = errors.New("the host does not gather the portion")
 
 const (
-	// assembleTime is taken off the target of a portion: its way back, and the merge of the portions.
-	assembleTime = 3 * time.Millisecond
+	// assembleTime is taken off the target of a portion: its way back, and the merge of the portions, on hosts with a
+	// part of a core. Parts that come later are told one by one.
+	assembleTime = 8 * time.Millisecond
+	// assembleShare bounds assembleTime to a part of short targets.
+	assembleShare = 4
 	// dividedFactor is how many portions' shards a query has at least when it is divided: below, the way to another
 	// host costs more than it saves.
 	dividedFactor = 2
@@ -119,9 +122,9 @@
 func (q *query) divide() []*share {
 	portions := divider.Divide(q.shards, q.answerer.portion)
 	spare := int(float64(len(q.shards)) * (1 - q.route.Least))
-	aim := q.target()
-	if aim.IsZero() {
-		aim = q.deadline
+	aim := q.deadline
+	if target := q.target(); !target.IsZero() {
+		aim = target.Add(-min(assembleTime, q.route.Target/assembleShare))
 	}
 	out := make([]*share, 0, len(portions))
 	for _, services := range portions {
@@ -129,7 +132,7 @@
 			parts: &Parts{},
 			portion: &Portion{
 				Request: q.request, Route: q.route.Name, Goal: q.route.Target, Services: services, Top: q.route.Top, Attempts: max(q.route.Attempts, 1),
-				Spare: spare / len(portions), Aim: aim.Add(-assembleTime), Deadline: q.deadline, Asker: q.answerer.host, Version: q.view.Version(),
+				Spare: spare / len(portions), Aim: aim, Deadline: q.deadline, Asker: q.answerer.host, Version: q.view.Version(),
 			},
 		})
 	}
