Hedge calls at 1.8 typical calls at the latest

Cause: a portion's leaves are known well, and their latencies are no longer mixed with the wait for the host's own processor and link. 3 of 4 queries over 54 shards meet a paused leaf, and their time is the hedge's.

--- a/fleetd/answerer/world.go
+++ b/fleetd/answerer/world.go
@@ -18,9 +18,9 @@
 	leastTrigger      = 8 * time.Millisecond
 	mostTriggerNumber = 2
 	mostTriggerPart   = 5
-	// slowFactor is how many typical calls old a call is at the latest when it is hedged. 2% of the calls of a healthy
+	// slowFactor is how many typical calls old a call is at the latest when it is hedged. 5% of the calls of a healthy
 	// leaf take as long.
-	slowFactor = 2.2
+	slowFactor = 1.8
 	// plainTarget stands for the target of routes that state none.
 	plainTarget = time.Second
 )
