--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -41,8 +41,8 @@
 	// response is the last response of a leaf that is not usable but may be passed on.
 	response *carrier.Answer
 	skipped  int
-	// The rest is set for a portion of another query: how many shards may be skipped, when the parts that are in are
-	// wanted, who gets them, and how many parts have been given.
+	// The rest is set for a portion of another query: how many shards may be skipped, when the
+	// parts that are in are wanted, who gets them, and how many parts have been given.
 	spare  int
 	wanted time.Time
 	give   func(*Parts)
--- a/lib/eventer/event.go
+++ b/lib/eventer/event.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,6 +95,7 @@
 		return
 	}
 	pairs = append([]any{"event", strconv.Itoa(e.Number)}, pairs...)
+	flatten(pairs)
 	if n := e.skipped.Swap(0); n > 0 {
 		pairs = append(pairs, "skipped", n)
 	}
@@ -105,3 +107,15 @@
 		klog.InfoSDepth(caller, e.Text, pairs...)
 	}
 }
+
+// flatten puts texts of several lines into one, because a reader takes each line of the log for an event.
+func flatten(pairs []any) {
+	for i, v := range pairs {
+		if err, ok := v.(error); ok && err != nil {
+			v = err.Error()
+		}
+		if text, ok := v.(string); ok {
+			pairs[i] = strings.ReplaceAll(text, "\n", ": ")
+		}
+	}
+}
--- a/lib/eventer/output_test.go
+++ b/lib/eventer/output_test.go
@@ -1,8 +1,12 @@
 package eventer_test
 
 import (
+	"bytes"
+	"errors"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -56,3 +60,16 @@
 	_, err := o.Write([]byte("late\n"))
 	qt.Assert(t, err, qt.IsNil)
 }
+
+// Guards against events of several lines, which come from joined errors: a reader of lines would miss the rest.
+func TestEventIsOneLine(t *testing.T) {
+	var log bytes.Buffer
+	output := eventer.NewOutput(&log)
+	eventer.Direct(output)
+	now := time.Unix(1000, 0)
+	joined := errors.Join(errors.New("unreachable"), errors.New("refused"))
+	eventer.RequestFailed.Log(now, "error", joined, "text", joined.Error(), "number", 7)
+	output.Close()
+	qt.Assert(t, strings.Count(log.String(), "\n"), qt.Equals, 1)
+	qt.Assert(t, log.String(), qt.Contains, `error="unreachable: refused" text="unreachable: refused" number=7`)
+}
