Keep the parts of a host that is lost, and hear of one whose leaves are slow

Cause, found by reading: when a host was killed after it had told some parts, its portion stayed awaited, and a caller whose query then lacked coverage was held until the deadline. Change: the parts told stay and the portion ends; the first message is sent at the aim even without parts. Both tests fail without it.

--- a/fleetd/answerer/divide.go
+++ b/fleetd/answerer/divide.go
@@ -162,13 +162,14 @@
 // ask has a portion gathered by another host.
 func (q *query) ask(ctx context.Context, host string, p *Portion, began time.Time, give func(*Parts)) error {
 	a := q.answerer
-	heard := false
+	heard, latest := false, Parts{}
 	a.divider.Begin(host)
 	err := a.helper.Gather(ctx, host, p, func(parts *Parts) {
 		if !heard {
 			heard = true
 			a.divider.Answered(host, a.clock().Sub(began), a.clock())
 		}
+		latest = *parts
 		give(parts)
 	})
 	now := a.clock()
@@ -178,8 +179,10 @@
 		return nil
 	}
 	eventer.PortionLost.Log(now, "id", p.Request.ID, "host", host, "services", len(p.Services), "heard", heard, "took", now.Sub(began), "error", err.Error())
-	if !errors.Is(err, ErrDeclined) && !heard {
-		give(&Parts{Last: true})
+	if !errors.Is(err, ErrDeclined) {
+		// What has come in stays; the rest will not come.
+		latest.Last, latest.Unrun = true, false
+		give(&latest)
 	}
 	return err
 }
--- a/fleetd/answerer/divide_test.go
+++ b/fleetd/answerer/divide_test.go
@@ -113,6 +113,47 @@
 	})
 }
 
+// Load: a host is killed after it has told some parts. Guards against a caller who is held until the deadline for the
+// rest, and against the loss of the parts that were told.
+func TestPartsOfALostHostStay(t *testing.T) {
+	each(t, func(t *testing.T) {
+		_, a, h := newHelpers()
+		h.breakAll(func(_ context.Context, p *answerer.Portion, give func(*answerer.Parts)) error {
+			parts := &answerer.Parts{}
+			for _, s := range p.Services[1:] {
+				parts.Stamps = append(parts.Stamps, s)
+			}
+			give(parts)
+			return context.DeadlineExceeded
+		})
+		reply, took := ask(a, "/all/2f")
+		qt.Assert(t, took < target, qt.IsTrue, qt.Commentf("%s", took))
+		if reply.Outcome == carrier.Gathered {
+			qt.Assert(t, len(reply.Stamps)+reply.Missing, qt.Equals, divided)
+		}
+	})
+}
+
+// Load: every leaf is slow. Guards against hosts that are taken for lost because no leaf has answered them yet.
+func TestHelperWithoutPartsIsAlive(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f, a, h := newHelpers()
+		for name := range f.leaves {
+			f.leaves[name] = f.answers(name, 3*target)
+		}
+		for range 3 {
+			reply, _ := ask(a, "/all/2f")
+			whole(t, reply)
+		}
+		asked := 0
+		for _, n := range h.asked {
+			asked += n
+		}
+		qt.Assert(t, asked%3, qt.Equals, 0, qt.Commentf("the hosts were asked for fewer portions after the first query"))
+		qt.Assert(t, asked > 3, qt.IsTrue)
+	})
+}
+
 // Load: a host freezes while it gathers. Guards against a caller who is held until the deadline, and against queries
 // that go on to lose their portions to the host.
 func TestFrozenHelperIsLeftAlone(t *testing.T) {
--- a/fleetd/answerer/portion.go
+++ b/fleetd/answerer/portion.go
@@ -49,7 +49,7 @@
 	q := &query{
 		answerer: a, request: p.Request, view: view, shards: p.Services, deadline: p.Deadline, spare: p.Spare,
 		route:  &router.Route{Name: p.Route, Idempotent: true, Target: p.Goal, Attempts: p.Attempts, Top: p.Top, Gather: p.Services},
-		wanted: p.Aim, give: give,
+		wanted: p.Aim, give: give, given: nothingGiven,
 	}
 	if view.Table == nil || !p.Deadline.After(now) {
 		give(&Parts{Last: true, Unrun: true})
@@ -89,6 +89,10 @@
 	return out
 }
 
+// nothingGiven is the number of parts given before the first message, which is sent at the aim even without parts: it
+// tells the asker that the host is alive.
+const nothingGiven = -1
+
 // news gives the parts that are in when they are wanted and have become more.
 func (q *query) news(now time.Time) {
 	if q.give != nil && !now.Before(q.wanted) && len(q.answers) > q.given {
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -41,8 +41,8 @@
 	// response is the last response of a leaf that is not usable but may be passed on.
 	response *carrier.Answer
 	skipped  int
-	// The rest is set for a portion of another query: how many shards may be skipped, when the
-	// parts that are in are wanted, who gets them, and how many parts have been given.
+	// spare is how many shards of a portion may be skipped. At wanted, give gets the parts that are in; given is how many
+	// it has got. Give is nil for a whole query.
 	spare  int
 	wanted time.Time
 	give   func(*Parts)
