--- a/fleetd/answerer/divide_test.go
+++ b/fleetd/answerer/divide_test.go
@@ -119,11 +119,7 @@
 	each(t, func(t *testing.T) {
 		_, a, h := newHelpers()
 		h.breakAll(func(_ context.Context, p *answerer.Portion, give func(*answerer.Parts)) error {
-			parts := &answerer.Parts{}
-			for _, s := range p.Services[1:] {
-				parts.Stamps = append(parts.Stamps, s)
-			}
-			give(parts)
+			give(&answerer.Parts{Stamps: p.Services[1:]})
 			return context.DeadlineExceeded
 		})
 		reply, took := ask(a, "/all/2f")
