Count followers by one function, and say what the keeper's fields hold

joined and left only wrapped count, and the comment on the control address described a list that is no longer there. Behaviour is unchanged.

--- a/fleetd/keeper/entries.go
+++ b/fleetd/keeper/entries.go
@@ -20,11 +20,7 @@
 	control string
 }
 
-// joined notes that a host begins to follow this one, left that it ends to.
-func (k *Keeper) joined(request *peerv1.FollowRequest) { k.count(request, 1) }
-
-func (k *Keeper) left(request *peerv1.FollowRequest) { k.count(request, -1) }
-
+// count notes that an entry host begins (1) or ends (-1) to follow this one.
 func (k *Keeper) count(request *peerv1.FollowRequest, change int) {
 	if request.GetControl() {
 		return
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -53,9 +53,9 @@
 func (s *Service) Follow(request *peerv1.FollowRequest, out peerv1.FollowService_FollowServer) error {
 	k := s.keeper
 	eventer.FollowerJoined.Log(k.clock(), "host", request.GetHost(), "center", request.GetCenter(), "control", request.GetControl(), "version", request.GetVersion())
-	k.joined(request)
+	k.count(request, 1)
 	defer func() {
-		k.left(request)
+		k.count(request, -1)
 		eventer.FollowerLeft.Log(k.clock(), "host", request.GetHost())
 	}()
 	f := &stream{keeper: k, request: request, version: request.GetVersion(), departed: make(map[string]uint64)}
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -48,12 +48,12 @@
 	clock  func() time.Time
 
 	mu sync.Mutex
-	// followers counts the entry hosts that follow this host; others holds the counts of the other control hosts.
+	// followers counts the entry hosts that follow this host; others holds what other control hosts said, by address.
 	followers int
 	others    map[string]other
 	// streams counts the streams of each entry host that follows this host.
 	streams map[follower]int
-	// controls are the addresses at which control hosts serve leaves and operators, by host.
+	// control is where this host serves leaves and operators, and peer where it serves other hosts.
 	control netip.AddrPort
 	peer    string
 }
