--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -76,12 +76,10 @@
 type Bounds struct {
 	// Ratio is the number of extra calls of a service for each request, and Slack the number without requests, in
 	// any Window.
-	Ratio  float64
-	Slack  int
-	Window time.Duration
+	Ratio, Slack float64
+	Window       time.Duration
 	// Cold and ColdSlack bound the requests in a second for a cold leaf: its stated rate times Cold, plus ColdSlack.
-	Cold      float64
-	ColdSlack int
+	Cold, ColdSlack float64
 }
 
 // Option changes an answerer.
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -78,7 +78,7 @@
 	out := replica.Config{
 		Host: s.address.String(), Address: s.peers.String(), Center: s.Center, Join: !s.First, Election: election, Heartbeat: heartbeat,
 		Compact: compact, Clock: clock, Seed: seed(s.Name, clock()), Seek: s.controls,
-		Voters: mostVoters, Absence: absence, Least: max(2*s.Tolerance+1, 3), //nolint:mnd // A majority survives the loss of as many hosts.
+		Voters: mostVoters, Absence: absence, Least: max(2*s.tolerance+1, 3), //nolint:mnd // A majority survives the loss of as many hosts.
 	}
 	dial, _ := linker.Options()
 	out.Dial = dial
--- a/fleetd/server/server.go
+++ b/fleetd/server/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -29,8 +30,13 @@
 	bind   string
 	grace  time.Duration
 	window time.Duration
+	// tolerance is the number of control hosts that may be lost at one time.
+	tolerance int
 }
 
+// leastWindow is the shortest window in which extra calls can be counted.
+const leastWindow = 10 * time.Millisecond
+
 // ErrSettings marks settings that the schema permits and the host cannot use.
 var ErrSettings = errors.New("the settings cannot be used")
 
@@ -60,6 +66,10 @@
 	fail("bounds.grace", err)
 	s.window, err = time.ParseDuration(in.Bounds.Window)
 	fail("bounds.window", err)
+	if s.window < leastWindow {
+		fail("bounds.window", fmt.Errorf("%s is shorter than %s", s.window, leastWindow))
+	}
+	s.tolerance = int(math.Ceil(in.Tolerance))
 	if len(faults) > 0 {
 		return nil, errors.Join(append([]error{ErrSettings}, faults...)...)
 	}
