Bound what a leaf in trouble can send: heads, bodies, and all large answers together

Change: a connection reads as many bytes as the present answer may have: 64 KiB in front of the body, then the body that the route can need (64 records for each record of a gathered answer, 64 KiB at least, 8 MiB for a plain one). Beyond 64 KiB an answer also takes its bytes from a quota of all answers, a sixteenth of the host's memory.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -9,6 +9,7 @@
 	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/merger"
 	"lycheelift.example/lib/planner"
 	"lycheelift.example/lib/selector"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
@@ -19,6 +20,11 @@
 	// whose connections do not suffice for all hosts.
 	hold       = 10 * time.Second
 	scarceHold = 3 * time.Second
+	// maxAnswer bounds the body of a leaf's answer in bytes. A part of a gathered answer may have partRecords times as
+	// many records as the answer, and leastPart bytes in any case.
+	maxAnswer   = 8 << 20
+	partRecords = 64
+	leastPart   = 64 << 10
 	// leastShare is the least number of connections that a host may have to a leaf.
 	leastShare = 2
 	// mostShare bounds it while this host may not know of all the others, as after the loss of all hosts.
@@ -57,7 +63,7 @@
 	q.sent = append(q.sent, running)
 	running.out = &carrier.Call{
 		Request: q.request, Leaf: c.Target.Leaf.Name, Address: c.Target.Leaf.Address, Deadline: c.Sent.Add(c.Timeout),
-		Fresh: !q.route.Idempotent, Hold: hold, Share: localFactor * q.share(c.Target.Leaf.Service),
+		Most: q.most(), Fresh: !q.route.Idempotent, Hold: hold, Share: localFactor * q.share(c.Target.Leaf.Service),
 	}
 	if c.Target.Leaf.Center != a.center {
 		running.out.Share = q.share(c.Target.Leaf.Service)
@@ -72,6 +78,14 @@
 	}()
 }
 
+// most bounds the body of a leaf's answer, in bytes.
+func (q *query) most() int64 {
+	if len(q.route.Gather) == 0 {
+		return maxAnswer
+	}
+	return min(maxAnswer, max(leastPart, partRecords*int64(q.route.Top)*merger.Size))
+}
+
 // share returns this host's part of the connections that a leaf accepts.
 func (q *query) share(service string) int {
 	s, ok := q.view.Table.Service(service)
--- a/fleetd/exchanger/exchanger.go
+++ b/fleetd/exchanger/exchanger.go
@@ -17,7 +17,8 @@
 // Protocol writes calls and reads answers.
 type Protocol interface {
 	Write(w *bufio.Writer, c *carrier.Call, now time.Time) error
-	Read(r *bufio.Reader, c *carrier.Call) (*carrier.Answer, error)
+	// Read reads one answer. It calls permit with the greatest length of the body once the head is in.
+	Read(r *bufio.Reader, c *carrier.Call, permit func(body int64)) (*carrier.Answer, error)
 }
 
 const (
@@ -56,6 +57,8 @@
 
 	// writers holds write buffers, which are needed for a moment only.
 	writers sync.Pool
+	// quota bounds the bytes of all answers.
+	quota *quota
 
 	mu    sync.Mutex
 	pools map[netip.AddrPort]*pool
@@ -75,11 +78,17 @@
 	return func(e *Exchanger) { e.dial = dial }
 }
 
+// WithQuota bounds the bytes of all large answers that arrive at one time.
+func WithQuota(bytes int64) Option {
+	return func(e *Exchanger) { e.quota = &quota{most: bytes} }
+}
+
 // New returns an exchanger without connections.
 func New(protocol Protocol, clock func() time.Time, options ...Option) *Exchanger {
 	dialer := &net.Dialer{}
 	e := &Exchanger{
 		protocol: protocol, clock: clock, pools: make(map[netip.AddrPort]*pool),
+		quota:   &quota{most: DefaultQuota},
 		writers: sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }},
 		dial: func(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 			return dialer.DialContext(ctx, "tcp", address.String())
@@ -127,6 +136,8 @@
 func (e *Exchanger) exchange(ctx context.Context, l *link, c *carrier.Call) (*carrier.Answer, error) {
 	stop := context.AfterFunc(ctx, func() { _ = l.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	l.meter.begin()
+	defer l.meter.end()
 	written, err := e.write(l, c)
 	if err != nil {
 		return nil, failure(ctx, ErrLost, err)
@@ -134,7 +145,7 @@
 	if _, err := l.reader.Peek(1); err != nil {
 		return nil, failure(ctx, ErrLost, err)
 	}
-	answer, err := e.protocol.Read(l.reader, c)
+	answer, err := e.protocol.Read(l.reader, c, l.meter.permit)
 	if err != nil {
 		return nil, failure(ctx, spoiled(err), err)
 	}
--- a/fleetd/exchanger/exchanger_test.go
+++ b/fleetd/exchanger/exchanger_test.go
@@ -76,7 +76,7 @@
 func (l *leaf) call(id string) *carrier.Call {
 	return &carrier.Call{
 		Request: &carrier.Request{ID: id, Method: http.MethodGet, Host: "n.example", Target: "/", Header: http.Header{"Request-Id": {id}}},
-		Leaf:    "i-1", Address: l.address, Deadline: time.Now().Add(time.Minute), Share: 1, Hold: time.Minute,
+		Leaf:    "i-1", Address: l.address, Deadline: time.Now().Add(time.Minute), Share: 1, Hold: time.Minute, Most: 1 << 20,
 	}
 }
 
--- a/fleetd/exchanger/pool.go
+++ b/fleetd/exchanger/pool.go
@@ -15,6 +15,7 @@
 type link struct {
 	pool    *pool
 	conn    net.Conn
+	meter   *meter
 	reader  *bufio.Reader
 	expires time.Time
 }
@@ -49,7 +50,8 @@
 		return nil, errors.Join(ctx.Err(), ErrUnreachable, err)
 	}
 	e.stats.Opened++
-	return &link{pool: p, conn: conn, reader: bufio.NewReaderSize(conn, bufferSize)}, nil
+	m := &meter{conn: conn, quota: e.quota}
+	return &link{pool: p, conn: conn, meter: m, reader: bufio.NewReaderSize(m, bufferSize)}, nil
 }
 
 // reuse takes the connection that was used last. Those that have expired or show a byte or an end are closed.
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -33,7 +33,7 @@
 	follow := follower.New(platform.DecodeDocument, clock())
 	client := follower.NewClient(follow, s.Name, s.Center, s.peers.String(), s.controls, clock)
 	go client.Run(running)
-	exchange := exchanger.New(platform.Leaf{}, clock)
+	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
 	help := helper.NewClient(clock)
 	answer := answerer.New(s.Name, s.Center, follow, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
--- a/fleetd/server/server.go
+++ b/fleetd/server/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/samber/oops"
 
+	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
 	settings "lycheelift.example/schema/gen/settings/fleetd"
@@ -76,6 +77,21 @@
 	return s, nil
 }
 
+const (
+	// quotaPart is the part of the host's memory that the bytes of large answers may have. Buffers that grow and garbage
+	// take several times as much.
+	quotaPart = 16
+	mebibyte  = 1 << 20
+)
+
+// quota bounds the bytes of all large answers that arrive at one time.
+func (s *Settings) quota() int64 {
+	if s.Memory <= 0 {
+		return exchanger.DefaultQuota
+	}
+	return int64(s.Memory * mebibyte / quotaPart)
+}
+
 // controls returns the addresses at which the seeds serve other hosts: the internal port is the same on every host.
 func (s *Settings) controls() []string {
 	out := make([]string, 0, len(s.seeds))
--- a/lib/carrier/carrier.go
+++ b/lib/carrier/carrier.go
@@ -40,6 +40,8 @@
 	Share int
 	// Hold is how long an unused connection is kept.
 	Hold time.Duration
+	// Most bounds the body of the answer, in bytes.
+	Most int64
 	// Gate is passed before the first byte is sent.
 	Gate Gate
 }
