Count crashes, not canaries, before a request is blocked

Cause: the number of canary calls that crashed a server was taken for the number of crashes. The canaries of one innocent request that several hosts have sent are in flight on one server beside the harmful request that crashes it; each host reported one, two made the limit, and the innocent request was blocked for an hour: what TestHarmfulRequestIsRefusedEverywhere saw once ('not run: the request crashed backend servers and is blocked').

Change: a crash is named by leaf and incarnation, which is the same name on every host that had a call there; crashes of different incarnations are counted.

Tests: TestCanariesOfTwoHostsAtOneCrash (fails with attempts as names), TestOneCrashCountsOnceForAllHosts.

--- a/entryd/isolator/isolator.go
+++ b/entryd/isolator/isolator.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"google.golang.org/grpc"
@@ -74,8 +75,9 @@
 	if call.Alone {
 		evidence = quarantiner.Only
 	}
-	report := i.state.Crash(fingerprint, call.Attempt, evidence, now)
-	eventer.RequestSuspected.Log(now, "fingerprint", fingerprint, "attempt", call.Attempt, "leaf", call.Target.Leaf.Name, "blocked", report.Blocked)
+	leaf := call.Target.Leaf
+	report := i.state.Crash(fingerprint, leaf.Name+"/"+strconv.FormatUint(leaf.Incarnation, 10), evidence, now)
+	eventer.RequestSuspected.Log(now, "fingerprint", fingerprint, "attempt", call.Attempt, "leaf", leaf.Name, "incarnation", leaf.Incarnation, "blocked", report.Blocked)
 	go func() {
 		i.tell(message(fingerprint, report, false))
 		done()
--- a/entryd/isolator/isolator_test.go
+++ b/entryd/isolator/isolator_test.go
@@ -74,3 +74,31 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Load: canaries of one innocent request, sent by callers of two hosts, are in flight on a leaf that a harmful request
+// crashes. Guards against the innocent request being blocked for an hour after one crash.
+func TestCanariesOfTwoHostsAtOneCrash(t *testing.T) {
+	cells := func() []ranker.Cell { return []ranker.Cell{{Hosts: []string{"a", "b"}}} }
+	near, hosts := network{}, map[string]*isolator.Isolator{}
+	for _, name := range []string{"a", "b"} {
+		hosts[name] = isolator.New(name, cells, near, time.Now)
+		listener := bufconn.Listen(1 << 16)
+		near[name] = listener
+		server := grpc.NewServer()
+		peerv1.RegisterPeerServiceServer(server, service{isolate: hosts[name]})
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(server.Stop)
+	}
+	leaf := &cataloguer.Leaf{Name: "leaf", Incarnation: 3}
+	for name, h := range hosts {
+		told := make(chan struct{})
+		call := &planner.Call{Attempt: name + "/1", Canary: true, Target: planner.Target{Leaf: leaf}}
+		h.Crashed(7, call, func() { close(told) })
+		<-told
+	}
+	for name, h := range hosts {
+		ticket := h.Enter(context.Background(), 7, false)
+		h.Leave(7, ticket)
+		qt.Assert(t, ticket.Verdict, qt.Equals, quarantiner.Alone, qt.Commentf("%s", name))
+	}
+}
--- a/entryd/isolator/suspect.go
+++ b/entryd/isolator/suspect.go
@@ -15,24 +15,24 @@
 
 // Bounds of a report.
 const (
-	maxAttempts = 16
-	maxAttempt  = 256
+	maxCrashes = 16
+	maxCrash   = 256
 )
 
 // Suspect takes another host's report and passes it on to the hosts that it names.
 func (i *Isolator) Suspect(_ context.Context, in *peerv1.SuspectRequest) (*peerv1.SuspectResponse, error) {
-	if len(in.GetAttempts()) > maxAttempts || len(in.GetRelay()) > ranker.MaxCell {
-		return nil, status.Error(codes.InvalidArgument, "the report has too many attempts or relays")
+	if len(in.GetCrashes()) > maxCrashes || len(in.GetRelay()) > ranker.MaxCell {
+		return nil, status.Error(codes.InvalidArgument, "the report has too many crashes or relays")
 	}
-	for _, a := range in.GetAttempts() {
-		if len(a) > maxAttempt {
-			return nil, status.Error(codes.InvalidArgument, "an attempt's identity is too long")
+	for _, c := range in.GetCrashes() {
+		if len(c) > maxCrash {
+			return nil, status.Error(codes.InvalidArgument, "a crash's name is too long")
 		}
 	}
 	if in.GetCleared() {
 		i.state.Clear(in.GetFingerprint(), i.clock())
 	} else {
-		i.state.Merge(in.GetFingerprint(), quarantiner.Report{Attempts: in.GetAttempts(), Blocked: in.GetBlocked()}, i.clock())
+		i.state.Merge(in.GetFingerprint(), quarantiner.Report{Crashes: in.GetCrashes(), Blocked: in.GetBlocked()}, i.clock())
 	}
 	i.relay(in)
 	return &peerv1.SuspectResponse{}, nil
--- a/entryd/isolator/tell.go
+++ b/entryd/isolator/tell.go
@@ -17,7 +17,7 @@
 const tellTimeout = 300 * time.Millisecond
 
 func message(fingerprint uint64, r quarantiner.Report, cleared bool) *peerv1.SuspectRequest {
-	return &peerv1.SuspectRequest{Fingerprint: fingerprint, Attempts: r.Attempts, Blocked: r.Blocked, Cleared: cleared}
+	return &peerv1.SuspectRequest{Fingerprint: fingerprint, Crashes: r.Crashes, Blocked: r.Blocked, Cleared: cleared}
 }
 
 // tell reports to one host of each cell, which passes the report to the others, and waits until all have answered.
--- a/lib/quarantiner/crash.go
+++ b/lib/quarantiner/crash.go
@@ -19,20 +19,21 @@
 	Only
 )
 
-// Crash notes that a call was in flight on a server that crashed, and returns the report for the other hosts.
-func (q *Quarantiner) Crash(fingerprint uint64, attempt string, evidence Evidence, now time.Time) Report {
+// Crash notes that a call was in flight on a server that crashed, and returns the report for the other hosts. The crash
+// has the same name on every host that had a call in flight there.
+func (q *Quarantiner) Crash(fingerprint uint64, crash string, evidence Evidence, now time.Time) Report {
 	report := Report{Blocked: evidence == Only}
 	if evidence != Beside {
-		report.Attempts = []string{attempt}
+		report.Crashes = []string{crash}
 	}
 	return q.Merge(fingerprint, report, now)
 }
 
 // Report is what a host knows of a suspect.
 type Report struct {
-	// Attempts are the canary calls that crashed a server.
-	Attempts []string
-	Blocked  bool
+	// Crashes are those at which a canary call was in flight.
+	Crashes []string
+	Blocked bool
 }
 
 // Merge adds what another host reports, and returns what is known now. The same report may be merged twice.
@@ -43,16 +44,16 @@
 	delete(p.fresh, fingerprint)
 	delete(p.stale, fingerprint)
 	s := p.suspect(fingerprint, now)
-	for _, a := range r.Attempts {
-		if len(s.attempts) < limit && !slices.Contains(s.attempts, a) {
-			s.attempts = append(s.attempts, a)
+	for _, c := range r.Crashes {
+		if len(s.crashes) < limit && !slices.Contains(s.crashes, c) {
+			s.crashes = append(s.crashes, c)
 		}
 	}
-	if (r.Blocked || len(s.attempts) >= limit) && !s.blocked {
+	if (r.Blocked || len(s.crashes) >= limit) && !s.blocked {
 		s.blocked = true
 		s.expires = now.Add(Hold)
 	}
-	return Report{Attempts: slices.Clone(s.attempts), Blocked: s.blocked}
+	return Report{Crashes: slices.Clone(s.crashes), Blocked: s.blocked}
 }
 
 // suspect returns the entry of a fingerprint, making room for it if needed.
--- a/lib/quarantiner/quarantiner.go
+++ b/lib/quarantiner/quarantiner.go
@@ -19,7 +19,7 @@
 	maxSuspects = 1024
 	// Hold is the time for which a fingerprint stays a suspect or blocked.
 	Hold = time.Hour
-	// limit is the number of canary calls that crash a server before the fingerprint is blocked.
+	// limit is the number of crashes with a canary call in flight after which the fingerprint is blocked.
 	limit = 2
 )
 
@@ -39,10 +39,10 @@
 
 // suspect is a fingerprint that was in flight on a server that crashed.
 type suspect struct {
-	// attempts are the canary calls that crashed a server.
-	attempts []string
-	blocked  bool
-	expires  time.Time
+	// crashes are those at which a canary call was in flight.
+	crashes []string
+	blocked bool
+	expires time.Time
 }
 
 // New returns an empty quarantiner.
--- a/lib/quarantiner/quarantiner_test.go
+++ b/lib/quarantiner/quarantiner_test.go
@@ -39,7 +39,7 @@
 	qt.Assert(t, ticket.Verdict, qt.Equals, quarantiner.Alone)
 	report := q.Crash(7, "b", quarantiner.Only, now)
 	q.Leave(7, ticket)
-	qt.Assert(t, report, qt.DeepEquals, quarantiner.Report{Attempts: []string{"a", "b"}, Blocked: true})
+	qt.Assert(t, report, qt.DeepEquals, quarantiner.Report{Crashes: []string{"a", "b"}, Blocked: true})
 	qt.Assert(t, q.Enter(7, true, now.Add(59*time.Minute)).Verdict, qt.Equals, quarantiner.Blocked)
 	qt.Assert(t, q.Clear(7, now), qt.IsFalse)
 	qt.Assert(t, q.Enter(7, true, now).Verdict, qt.Equals, quarantiner.Blocked)
@@ -63,10 +63,10 @@
 // Guards against one crash that is reported twice counting as two, and against hosts that do not learn of a block.
 func TestReportsAreMerged(t *testing.T) {
 	q := quarantiner.New()
-	one := quarantiner.Report{Attempts: []string{"a"}}
+	one := quarantiner.Report{Crashes: []string{"a"}}
 	q.Merge(7, one, now)
 	qt.Assert(t, q.Merge(7, one, now).Blocked, qt.IsFalse)
-	qt.Assert(t, q.Merge(7, quarantiner.Report{Attempts: []string{"b"}}, now).Blocked, qt.IsTrue)
+	qt.Assert(t, q.Merge(7, quarantiner.Report{Crashes: []string{"b"}}, now).Blocked, qt.IsTrue)
 	qt.Assert(t, q.Merge(8, quarantiner.Report{Blocked: true}, now).Blocked, qt.IsTrue)
 }
 
@@ -107,3 +107,22 @@
 	qt.Assert(t, q.Enter(400_015, true, now.Add(11*time.Minute)).Verdict, qt.Equals, quarantiner.Free)
 	qt.Assert(t, q.Enter(400_015, true, now.Add(35*time.Minute)).Verdict, qt.Equals, quarantiner.Canary)
 }
+
+// Load: callers of all hosts send one innocent request that no host knows yet, beside a harmful one. Its canaries from
+// several hosts are in flight on the one server that crashes. Guards against one crash that counts once for each of
+// them and blocks the innocent request.
+func TestOneCrashCountsOnceForAllHosts(t *testing.T) {
+	hosts := []*quarantiner.Quarantiner{quarantiner.New(), quarantiner.New(), quarantiner.New()}
+	for _, reporting := range hosts {
+		report := reporting.Crash(7, "leaf/1", quarantiner.First, now)
+		for _, told := range hosts {
+			told.Merge(7, report, now)
+		}
+	}
+	for _, h := range hosts {
+		ticket := h.Enter(7, true, now)
+		qt.Assert(t, ticket.Verdict, qt.Equals, quarantiner.Alone)
+		h.Leave(7, ticket)
+	}
+	qt.Assert(t, hosts[0].Crash(7, "leaf/2", quarantiner.First, now).Blocked, qt.IsTrue)
+}
