Cut off no request that has just been accepted during a planned stop

Cause: net/http's Shutdown closes the listener first, which resets connections that the system has accepted and the process has not, and closes connections that count as idle although the next request has arrived: unread, or with its head read in part. On hosts with a fifth of a core that lasts milliseconds.

Change: a stopping host serves its address until no connection is left and none has come for 100 ms. It closes a connection without a request only when it has been so for 100 ms, nothing of a next request has been read, and the system holds no unread byte. peeker.Quiet, which the exchanger had, serves both.

--- a/fleetd/exchanger/pool.go
+++ b/fleetd/exchanger/pool.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"lycheelift.example/fleetd/peeker"
 	"lycheelift.example/lib/carrier"
 )
 
@@ -62,7 +63,7 @@
 		if l == nil {
 			return nil
 		}
-		if now.Before(l.expires) && quiet(l.conn) {
+		if now.Before(l.expires) && peeker.Quiet(l.conn) {
 			return l
 		}
 		e.mu.Lock()
--- a/fleetd/exchanger/quiet.go
+++ b/fleetd/peeker/peeker.go
@@ -1,13 +1,15 @@
-package exchanger
+// Package peeker looks at unused connections without reading from them.
+package peeker
 
 import (
 	"net"
 	"syscall"
 )
 
-// quiet reports whether an unused connection is open and shows no byte. A leaf that sends something without being
-// asked, or has closed the connection, must not be sent a request on it.
-func quiet(conn net.Conn) bool {
+// Quiet reports whether an unused connection is open and shows no byte. A connection on which the other side has sent
+// something without being asked, or which it has closed, must not be used for a request; one that holds a request which
+// was not read yet must not be closed.
+func Quiet(conn net.Conn) bool {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return true
--- a/fleetd/receiver/receiver.go
+++ b/fleetd/receiver/receiver.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"lycheelift.example/fleetd/peeker"
 )
 
 const (
@@ -26,25 +28,48 @@
 	// noticeTime is how long a stopping host goes on to take connections: the load balancer asks every second and
 	// believes the second answer.
 	noticeTime = 3200 * time.Millisecond
+	// drainInterval is the time between two looks at the connections of a stopping host.
+	drainInterval = 20 * time.Millisecond
+	// quietTime is how long a stopping host keeps a connection without a request, and its address after the newest
+	// connection.
+	quietTime = 100 * time.Millisecond
 	// closeTime is left at the end of the grace time.
 	closeTime = 700 * time.Millisecond
 )
 
 // Receiver serves one address. It is safe for concurrent use.
 type Receiver struct {
-	idle     func() time.Duration
-	grace    time.Duration
-	clock    func() time.Time
+	idle  func() time.Duration
+	grace time.Duration
+	clock func() time.Time
+	// quiet reports whether a connection without a request holds no byte of the next one.
+	quiet    func(net.Conn) bool
 	stopping atomic.Bool
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// rest holds since when each connection has been without a request, and open the number of all connections.
 	rest map[net.Conn]time.Time
+	open int
+	// opened is when the newest connection was accepted.
+	opened time.Time
+}
+
+// Option changes a receiver.
+type Option func(*Receiver)
+
+// WithQuiet sets how a connection is looked at before it is closed.
+func WithQuiet(quiet func(net.Conn) bool) Option {
+	return func(r *Receiver) { r.quiet = quiet }
 }
 
 // New returns a receiver. Idle returns how long a connection may stay without a request, 0 for no bound; grace is the
 // time in which it must stop.
-func New(idle func() time.Duration, grace time.Duration, clock func() time.Time) *Receiver {
-	return &Receiver{idle: idle, grace: grace, clock: clock, rest: make(map[net.Conn]time.Time)}
+func New(idle func() time.Duration, grace time.Duration, clock func() time.Time, options ...Option) *Receiver {
+	r := &Receiver{idle: idle, grace: grace, clock: clock, quiet: peeker.Quiet, rest: make(map[net.Conn]time.Time)}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Stopping reports whether the receiver stops: answers close their connections, and the host is not ready.
@@ -63,7 +88,7 @@
 		ErrorLog: stdlog.New(io.Discard, "", 0), // It reports what callers send; the handler logs what matters.
 	}
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(watched{listener}) }()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -78,11 +103,16 @@
 	}
 }
 
-// stop lets the load balancer notice, then lets the requests in progress end.
+// stop lets the load balancer notice, then lets the requests in progress end. The address is served until no connection
+// is left: one that was accepted by the system but not yet by this process would be reset with the listener.
 func (r *Receiver) stop(server *http.Server) error {
 	r.stopping.Store(true)
-	time.Sleep(min(noticeTime, r.grace/2))
-	ctx, cancel := context.WithTimeout(context.Background(), r.grace-min(noticeTime, r.grace/2)-closeTime)
+	began := r.clock()
+	end := began.Add(r.grace - closeTime)
+	for now := began; now.Before(end) && !r.drained(began, now); now = r.clock() {
+		time.Sleep(drainInterval)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), drainInterval)
 	defer cancel()
 	err := server.Shutdown(ctx)
 	if errors.Is(err, context.DeadlineExceeded) {
@@ -91,27 +121,54 @@
 	return oops.In("receiver").Wrapf(err, "stop")
 }
 
+// drained closes connections without a request once the load balancer has noticed the stop, and reports whether no
+// connection is left and none has come for a while.
+func (r *Receiver) drained(began, now time.Time) bool {
+	notice := min(noticeTime, r.grace/2)
+	if now.Sub(began) < notice {
+		return false
+	}
+	r.close(now, quietTime)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open == 0 && now.Sub(r.opened) >= quietTime
+}
+
 // track notes which connections are without a request.
 func (r *Receiver) track(conn net.Conn, state http.ConnState) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if state == http.StateIdle {
+	switch state {
+	case http.StateNew:
+		r.open++
+		r.opened = r.clock()
+	case http.StateIdle:
+		if w, ok := conn.(*watchedConn); ok {
+			w.read.Store(false)
+		}
 		r.rest[conn] = r.clock()
 		return
+	case http.StateClosed, http.StateHijacked:
+		r.open--
+	case http.StateActive:
 	}
 	delete(r.rest, conn)
 }
 
 // sweep closes connections that have been without a request for too long.
 func (r *Receiver) sweep(now time.Time) {
-	most := r.idle()
-	if most <= 0 {
-		return
+	if most := r.idle(); most > 0 {
+		r.close(now, most)
 	}
+}
+
+// close closes connections that have been without a request for longer than a time. One on which a request has begun to
+// arrive is left open, whether this process has read some of it or not.
+func (r *Receiver) close(now time.Time, most time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for conn, since := range r.rest {
-		if now.Sub(since) > most {
+		if now.Sub(since) > most && !hasRead(conn) && r.quiet(conn) {
 			_ = conn.Close()
 			delete(r.rest, conn)
 		}
