Look at a connection without waiting for the goroutine that reads from it

Cause: RawConn.Read takes the connection's read lock, which the server's goroutine holds while it waits for the next request.

Change: RawConn.Control, which waits for nobody. Test: TestLookDoesNotWaitForAReader, which hangs without the change.

--- a/fleetd/peeker/peeker.go
+++ b/fleetd/peeker/peeker.go
@@ -19,11 +19,11 @@
 		return false
 	}
 	silent := false
-	err = control.Read(func(fd uintptr) bool {
+	// RawConn.Read would wait for a goroutine that reads from the connection.
+	err = control.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, peeked := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		silent = peeked == syscall.EAGAIN || peeked == syscall.EWOULDBLOCK
-		return true
 	})
 	return err == nil && silent
 }
