Gather portions in data centres that have their leaves, on few hosts that know these

Cause: on the large site each shard has leaves in three of six data centres, another three for the next shard. Each portion was gathered by six hosts of each of six data centres, each of which heard a leaf less than once a second, so that what it knew of slow leaves was forgotten between two calls, and each had a 194th of the extra calls that the users permit without requests, most of which stayed unused.

Change: a query is divided by data centre, as few as hold all shards, the caller's own first; three hosts of a data centre (setting gatherers) gather each portion. These share the extra calls, and only after they have been responsible for a whole window, so that no predecessor or earlier process has used the same share. Control hosts tell every entry host of all others, as changes, and of none behind a control host that is silent; they end the streams of followers that are frozen or cut off (1.7 s).

--- a/fleetd/answerer/divide.go
+++ b/fleetd/answerer/divide.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"lycheelift.example/fleetd/follower"
@@ -36,47 +37,71 @@
 	dividedFactor = 2
 )
 
-// WithHelpers lets other hosts of the data centre gather portions of a number of shards at most. Self is this host's
-// own address among the view's helpers.
-func WithHelpers(self string, size int, h Helper) Option {
-	return func(a *Answerer) { a.helper, a.portion, a.divider = h, size, divider.New(self) }
+// WithHelpers lets other hosts gather portions of a number of shards at most. Self is this host's own address among the
+// view's helpers, and gatherers the number of hosts of a data centre that gather one portion.
+func WithHelpers(self string, size, gatherers int, h Helper) Option {
+	return func(a *Answerer) { a.helper, a.portion, a.divider = h, size, divider.New(self, gatherers) }
 }
 
-// Sweep forgets what is known of helpers that are gone, and has the others connected before they are needed. It is to
-// be called now and then.
-func (a *Answerer) Sweep(time.Time) {
+// Sweep forgets what is known of helpers that are gone, has the others connected before they are needed, and notes for
+// which portions this host is responsible. It is to be called now and then.
+func (a *Answerer) Sweep(now time.Time) {
 	view := a.viewer.View()
 	if a.divider == nil || view.Table == nil {
 		return
 	}
-	a.divider.Keep(view.Helpers)
+	a.divider.Keep(view.Hosts())
 	seen := make(map[string]bool)
+	var duties []string
 	for i := range view.Table.Document().Routes {
 		services := view.Table.Document().Routes[i].Gather
 		if !a.divides(view, services) || seen[services[0]] {
 			continue
 		}
 		seen[services[0]] = true
-		portions := divider.Divide(services, a.portion)
-		for _, p := range portions {
-			for _, host := range a.divider.Candidates(p[0], len(portions), view.Helpers) {
+		shards := placed(view, services)
+		for _, p := range a.divider.Divide(a.center, shards, view.Helpers, a.portion) {
+			for _, host := range a.divider.Candidates(p.Key, view.Helpers[p.Center]) {
 				if host != a.divider.Self() {
 					a.helper.Usable(host)
 				}
 			}
 		}
+		for _, key := range divider.Keys(a.center, shards, a.portion) {
+			if slices.Contains(a.divider.Responsible(key, view.Helpers[a.center]), a.divider.Self()) {
+				duties = append(duties, key)
+			}
+		}
 	}
+	a.divider.Duties(duties, now)
 }
 
 // divides reports whether other hosts are to gather portions of a query over some services.
 func (a *Answerer) divides(view *follower.View, services []string) bool {
-	return a.helper != nil && a.portion > 0 && len(services) >= dividedFactor*a.portion && len(view.Helpers) > 1
+	return a.helper != nil && a.portion > 0 && len(services) >= dividedFactor*a.portion && len(view.Hosts()) > 1
+}
+
+// placed returns the shards that some services hold and the data centres of their leaves.
+func placed(view *follower.View, services []string) []divider.Shard {
+	out := make([]divider.Shard, 0, len(services))
+	for _, service := range services {
+		s := divider.Shard{Service: service}
+		for _, l := range view.Holders[service] {
+			if !slices.Contains(s.Centers, l.Center) {
+				s.Centers = append(s.Centers, l.Center)
+			}
+		}
+		out = append(out, s)
+	}
+	return out
 }
 
 // share is one portion and what has come in of it.
 type share struct {
 	portion *Portion
-	parts   *Parts
+	// candidates are the hosts that may be asked for it.
+	candidates []string
+	parts      *Parts
 }
 
 // update tells of parts of a portion.
@@ -94,7 +119,7 @@
 	sizes := make([]int, len(shares))
 	for i, s := range shares {
 		sizes[i] = len(s.portion.Services)
-		go q.fetch(ctx, i, s.portion, len(shares), updates)
+		go q.fetch(ctx, i, s, updates)
 	}
 	assemble := assembler.New(assembler.Query{
 		Sizes: sizes, Least: q.route.Least, Received: q.request.Received, Target: q.target(), Deadline: q.deadline,
@@ -120,19 +145,20 @@
 
 // divide makes the portions of the query.
 func (q *query) divide() []*share {
-	portions := divider.Divide(q.shards, q.answerer.portion)
+	a := q.answerer
+	portions := a.divider.Divide(a.center, placed(q.view, q.shards), q.view.Helpers, a.portion)
 	spare := int(float64(len(q.shards)) * (1 - q.route.Least))
 	aim := q.deadline
 	if target := q.target(); !target.IsZero() {
 		aim = target.Add(-min(assembleTime, q.route.Target/assembleShare))
 	}
 	out := make([]*share, 0, len(portions))
-	for _, services := range portions {
+	for _, p := range portions {
 		out = append(out, &share{
-			parts: &Parts{},
+			parts: &Parts{}, candidates: a.divider.Candidates(p.Key, q.view.Helpers[p.Center]),
 			portion: &Portion{
-				Request: q.request, Route: q.route.Name, Goal: q.route.Target, Services: services, Top: q.route.Top, Attempts: max(q.route.Attempts, 1),
-				Spare: spare / len(portions), Aim: aim, Deadline: q.deadline, Asker: q.answerer.host, Version: q.view.Version(),
+				Request: q.request, Route: q.route.Name, Goal: q.route.Target, Key: p.Key, Services: p.Services, Top: q.route.Top, Attempts: max(q.route.Attempts, 1),
+				Spare: spare / len(portions), Aim: aim, Deadline: q.deadline, Asker: a.host, Version: q.view.Version(),
 			},
 		})
 	}
@@ -140,8 +166,8 @@
 }
 
 // fetch has one portion gathered by the host that is chosen for it, and by this one when that host declines.
-func (q *query) fetch(ctx context.Context, number int, p *Portion, portions int, updates chan<- update) {
-	a := q.answerer
+func (q *query) fetch(ctx context.Context, number int, s *share, updates chan<- update) {
+	a, p := q.answerer, s.portion
 	give := func(parts *Parts) {
 		select {
 		case updates <- update{number: number, parts: parts}:
@@ -149,8 +175,7 @@
 		}
 	}
 	began := a.clock()
-	candidates := a.divider.Candidates(p.Services[0], portions, q.view.Helpers)
-	host := a.divider.Choose(candidates, a.helper.Usable, began)
+	host := a.divider.Choose(s.candidates, a.helper.Usable, began)
 	if host != a.divider.Self() {
 		if err := q.ask(ctx, host, p, began, give); !errors.Is(err, ErrDeclined) {
 			return
--- a/fleetd/answerer/divide_test.go
+++ b/fleetd/answerer/divide_test.go
@@ -45,14 +45,15 @@
 		gather: make(map[string]func(context.Context, *answerer.Portion, func(*answerer.Parts)) error),
 		hosts:  make(map[string]*answerer.Answerer), asked: make(map[string]int),
 	}
+	f.view.Helpers = make(map[string][]string)
 	for i := range 8 {
 		name := fmt.Sprintf("h%d", i)
-		f.view.Helpers = append(f.view.Helpers, name)
+		f.view.Helpers["a"] = append(f.view.Helpers["a"], name)
 		h.hosts[name] = f.answerer()
 	}
-	f.view.Helpers = append(f.view.Helpers, "self")
+	f.view.Helpers["a"] = append(f.view.Helpers["a"], "self")
 	bounds := answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
-	a := answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithRandom(func() float64 { return 0 }), answerer.WithHelpers("self", 9, h))
+	a := answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithRandom(func() float64 { return 0 }), answerer.WithHelpers("self", 9, 3, h))
 	return f, a, h
 }
 
--- a/fleetd/answerer/portion.go
+++ b/fleetd/answerer/portion.go
@@ -18,6 +18,8 @@
 	// Route names the query's route, by which latencies are measured, and Goal is the route's target.
 	Route string
 	Goal  time.Duration
+	// Key names the portion, by which its hosts are chosen.
+	Key string
 	// Services hold the shards.
 	Services []string
 	// Top is the number of records of the whole answer, and Attempts bounds the leaves of a shard that get the request.
@@ -47,7 +49,7 @@
 func (a *Answerer) Gather(ctx context.Context, p *Portion, give func(*Parts)) {
 	view, now := a.viewer.View(), a.clock()
 	q := &query{
-		answerer: a, request: p.Request, view: view, shards: p.Services, deadline: p.Deadline, spare: p.Spare,
+		answerer: a, request: p.Request, view: view, shards: p.Services, deadline: p.Deadline, spare: p.Spare, key: p.Key,
 		route:  &router.Route{Name: p.Route, Idempotent: true, Target: p.Goal, Attempts: p.Attempts, Top: p.Top, Gather: p.Services},
 		wanted: p.Aim, give: give, given: nothingGiven,
 	}
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -41,9 +41,10 @@
 	// response is the last response of a leaf that is not usable but may be passed on.
 	response *carrier.Answer
 	skipped  int
-	// spare is how many shards of a portion may be skipped. At wanted, give gets the parts that are in; given is how many
+	// spare is how many shards of a portion may be skipped, and key its name. At wanted, give gets the parts that are in; given is how many
 	// it has got. Give is nil for a whole query.
 	spare  int
+	key    string
 	wanted time.Time
 	give   func(*Parts)
 	given  int
--- a/fleetd/answerer/world.go
+++ b/fleetd/answerer/world.go
@@ -127,6 +127,19 @@
 
 func (w *world) spend(shard uint32) bool {
 	a := w.answerer
-	slack := budgetShare * a.bounds.Slack / float64(max(w.view.Entries, 1))
-	return a.budget.Spend(w.shards[shard], slack, a.clock())
+	return a.budget.Spend(w.shards[shard], (*query)(w).slack(a.clock()), a.clock())
+}
+
+// slack returns this host's part of the extra calls of a service that are permitted without requests. Calls to the
+// leaves of a portion are made by the hosts that gather it, which share them, and by others only where those are lost.
+func (q *query) slack(now time.Time) float64 {
+	a := q.answerer
+	all := budgetShare * a.bounds.Slack
+	if q.give == nil || a.divider == nil {
+		return all / float64(max(q.view.Entries, 1))
+	}
+	if !a.divider.OnDuty(q.key, a.bounds.Window, now) {
+		return 0
+	}
+	return all / float64(max(a.divider.Callers(q.view.Helpers), 1))
 }
--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -59,10 +59,7 @@
 		next.Entries = int(m.GetEntries())
 	}
 	if h := m.GetHosts(); h != nil {
-		next.Helpers = make([]string, 0, len(h.GetHosts()))
-		for _, host := range h.GetHosts() {
-			next.Helpers = append(next.Helpers, host.GetAddress())
-		}
+		next.Helpers = helpers(h.GetHosts())
 	}
 	if m.GetSettled() {
 		next.Settled = now
--- a/fleetd/follower/view.go
+++ b/fleetd/follower/view.go
@@ -8,6 +8,7 @@
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/router"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
 // View is what an entry host knows at one moment. It never changes.
@@ -20,14 +21,23 @@
 	Evacuated map[string]bool
 	// Entries is the number of entry hosts, at least 1.
 	Entries int
-	// Helpers are the addresses of the entry hosts of this host's data centre, this one among them.
-	Helpers []string
+	// Helpers are the addresses of the entry hosts of each data centre, this host among them. They never change.
+	Helpers map[string][]string
 	// Index is the newest record of the replicated log that is included.
 	Index uint64
 	// Settled is when this host last heard from a control host in contact with a leader.
 	Settled time.Time
 }
 
+// Hosts lists the addresses of the entry hosts of all data centres.
+func (v *View) Hosts() []string {
+	var out []string
+	for _, hosts := range v.Helpers {
+		out = append(out, hosts...)
+	}
+	return out
+}
+
 // Version returns the version of the configuration in force, 0 before the first.
 func (v *View) Version() uint64 {
 	if v.Table == nil {
@@ -55,3 +65,12 @@
 	}
 	return out
 }
+
+// helpers lists entry hosts by data centre.
+func helpers(hosts []*peerv1.EntryHost) map[string][]string {
+	out := make(map[string][]string)
+	for _, h := range hosts {
+		out[h.GetCenter()] = append(out[h.GetCenter()], h.GetAddress())
+	}
+	return out
+}
--- a/fleetd/helper/client.go
+++ b/fleetd/helper/client.go
@@ -115,7 +115,7 @@
 		Id: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Route: p.Route, Version: p.Version, Services: p.Services,
 		Top: uint32(p.Top), Attempts: uint32(p.Attempts), Spare: uint32(p.Spare), Asker: p.Asker, //nolint:gosec // Small and not negative.
 		Aim: durationpb.New(p.Aim.Sub(now)), Left: durationpb.New(p.Deadline.Sub(now)), Goal: durationpb.New(p.Goal),
-		Body: r.Body,
+		Body: r.Body, Key: p.Key,
 	}
 	for name, values := range r.Header {
 		for _, value := range values {
@@ -132,7 +132,7 @@
 		header.Add(f.GetName(), f.GetValue())
 	}
 	return &answerer.Portion{
-		Request: requestOf(m, header, now), Route: m.GetRoute(), Goal: m.GetGoal().AsDuration(), Services: m.GetServices(),
+		Request: requestOf(m, header, now), Route: m.GetRoute(), Goal: m.GetGoal().AsDuration(), Services: m.GetServices(), Key: m.GetKey(),
 		Top: int(m.GetTop()), Attempts: int(m.GetAttempts()), Spare: int(m.GetSpare()), Asker: m.GetAsker(), Version: m.GetVersion(),
 		Aim: now.Add(m.GetAim().AsDuration()), Deadline: now.Add(m.GetLeft().AsDuration()),
 	}
--- a/fleetd/keeper/entries.go
+++ b/fleetd/keeper/entries.go
@@ -1,10 +1,10 @@
 package keeper
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"lycheelift.example/fleetd/linker"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
@@ -14,6 +14,7 @@
 // other is what another control host said last.
 type other struct {
 	entries int
+	// hosts are the entry hosts that follow it, none while it cannot be heard.
 	hosts   []*peerv1.EntryHost
 	heard   time.Time
 	center  string
@@ -31,6 +32,7 @@
 	if request.GetAddress() == "" {
 		return
 	}
+	k.list = nil
 	host := follower{address: request.GetAddress(), center: request.GetCenter()}
 	// A host whose stream was lost may follow anew before the loss of the first stream is noticed.
 	if k.streams[host] += change; k.streams[host] == 0 {
@@ -63,18 +65,19 @@
 	return sorted(k.own())
 }
 
-// hostsOf lists the entry hosts of a data centre that follow any control host.
-func (k *Keeper) hostsOf(center string, now time.Time) []*peerv1.EntryHost {
+// allHosts lists the entry hosts that can be reached, as far as the control hosts hear them.
+func (k *Keeper) allHosts() []*peerv1.EntryHost {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.list != nil {
+		return k.list
+	}
 	all := k.own()
 	for _, c := range k.others {
-		if now.Sub(c.heard) < countTime {
-			all = append(all, c.hosts...)
-		}
+		all = append(all, c.hosts...)
 	}
-	all = slices.DeleteFunc(all, func(h *peerv1.EntryHost) bool { return h.GetCenter() != center })
-	return sorted(all)
+	k.list = sorted(all)
+	return k.list
 }
 
 // own lists the followers; the lock must be held.
@@ -88,10 +91,6 @@
 
 // sorted orders hosts by address and drops those that stand twice.
 func sorted(hosts []*peerv1.EntryHost) []*peerv1.EntryHost {
-	slices.SortFunc(hosts, func(a, b *peerv1.EntryHost) int { return cmp.Compare(a.GetAddress(), b.GetAddress()) })
-	return slices.CompactFunc(hosts, sameHost)
-}
-
-func sameHost(a, b *peerv1.EntryHost) bool {
-	return a.GetAddress() == b.GetAddress() && a.GetCenter() == b.GetCenter()
+	slices.SortFunc(hosts, linker.ByAddress)
+	return slices.CompactFunc(hosts, func(a, b *peerv1.EntryHost) bool { return linker.ByAddress(a, b) == 0 })
 }
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -103,7 +103,7 @@
 		m.Controls = controls
 		f.controls = len(controls)
 	}
-	changed = f.entryHosts(m, now) || m.GetEntries() != f.entries || changed
+	changed = f.entryHosts(m) || m.GetEntries() != f.entries || changed
 	if !changed {
 		return nil
 	}
@@ -112,19 +112,20 @@
 }
 
 // entryHosts adds the entry hosts, if they are not those that the follower was told of.
-func (f *stream) entryHosts(m *peerv1.FollowResponse, now time.Time) bool {
+func (f *stream) entryHosts(m *peerv1.FollowResponse) bool {
 	var hosts []*peerv1.EntryHost
 	if f.request.GetControl() {
 		hosts = f.keeper.ownHosts()
 	} else {
-		hosts = f.keeper.hostsOf(f.request.GetCenter(), now)
+		hosts = f.keeper.allHosts()
 	}
-	if f.started && slices.EqualFunc(hosts, f.hosts, sameHost) {
-		return false
+	if !f.started {
+		m.Hosts = &peerv1.EntryHosts{Hosts: hosts, Whole: true}
+	} else {
+		m.Hosts = linker.Changes(f.hosts, hosts)
 	}
 	f.hosts = hosts
-	m.Hosts = &peerv1.EntryHosts{Hosts: hosts}
-	return true
+	return m.Hosts != nil
 }
 
 // state adds what entry hosts are told of the replicated state.
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -17,6 +17,7 @@
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/journaler"
 	"lycheelift.example/lib/router"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
@@ -53,6 +54,8 @@
 	others    map[string]other
 	// streams counts the streams of each entry host that follows this host.
 	streams map[follower]int
+	// list are the entry hosts that can be reached; nil after a change.
+	list []*peerv1.EntryHost
 	// control is where this host serves leaves and operators, and peer where it serves other hosts.
 	control netip.AddrPort
 	peer    string
--- a/fleetd/keeper/keeper_test.go
+++ b/fleetd/keeper/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/netip"
 	"slices"
 	"testing"
@@ -148,51 +149,55 @@
 	qt.Assert(t, w.keeper.Settled(start), qt.IsFalse)
 }
 
-// Guards against entry hosts that are not told of each other, against one that stays listed when it is gone, and
-// against one that is dropped because an older stream of it ends.
+// Load: entry hosts join and leave in series. Guards against entry hosts that are not told of each other, in whatever
+// data centre, against one that stays listed when it is gone, against one that is dropped because an older stream of it
+// ends, and against the whole list being sent again at each change.
 func TestEntryHostsLearnOfEachOther(t *testing.T) {
 	w := newWorld()
-	join := func(center, address string) (context.CancelFunc, func() *peerv1.FollowResponse) {
+	// join returns the end of the stream and a function that waits until the host knows just these hosts.
+	join := func(center, address string) (context.CancelFunc, func(want ...string)) {
 		out := newRecorder()
 		go func() {
 			_ = keeper.NewService(w.keeper, nil).Follow(&peerv1.FollowRequest{Host: address, Center: center, Address: address}, out)
 		}()
-		return out.cancel, func() *peerv1.FollowResponse {
-			for {
-				if m := <-out.sent; m.GetHosts() != nil {
-					return m
+		known, lists := make(map[string]string), 0
+		return out.cancel, func(want ...string) {
+			for !slices.Equal(slices.Sorted(maps.Keys(known)), want) {
+				m := (<-out.sent).GetHosts()
+				if m == nil {
+					continue
+				}
+				lists++
+				qt.Assert(t, m.GetWhole(), qt.Equals, lists == 1)
+				for _, h := range m.GetHosts() {
+					qt.Assert(t, known[h.GetAddress()], qt.Equals, "")
+					known[h.GetAddress()] = h.GetCenter()
+				}
+				for _, address := range m.GetGone() {
+					qt.Assert(t, known[address], qt.Not(qt.Equals), "")
+					delete(known, address)
 				}
 			}
+			qt.Assert(t, known[address], qt.Equals, center)
 		}
 	}
-	addresses := func(m *peerv1.FollowResponse) []string {
-		out := []string{}
-		for _, h := range m.GetHosts().GetHosts() {
-			out = append(out, h.GetAddress())
-		}
-		return out
-	}
 	leaveFirst, first := join("a", "10.0.0.8:1")
 	defer leaveFirst()
-	qt.Assert(t, addresses(first()), qt.DeepEquals, []string{"10.0.0.8:1"})
+	first("10.0.0.8:1")
 	leaveOther, other := join("b", "10.0.0.9:1")
 	defer leaveOther()
-	qt.Assert(t, addresses(other()), qt.DeepEquals, []string{"10.0.0.9:1"})
+	other("10.0.0.8:1", "10.0.0.9:1")
 	leaveSecond, second := join("a", "10.0.0.7:1")
-	qt.Assert(t, addresses(second()), qt.DeepEquals, []string{"10.0.0.7:1", "10.0.0.8:1"})
-	qt.Assert(t, addresses(first()), qt.DeepEquals, []string{"10.0.0.7:1", "10.0.0.8:1"})
+	second("10.0.0.7:1", "10.0.0.8:1", "10.0.0.9:1")
+	first("10.0.0.7:1", "10.0.0.8:1", "10.0.0.9:1")
 	leaveAgain, again := join("a", "10.0.0.7:1")
-	qt.Assert(t, addresses(again()), qt.DeepEquals, []string{"10.0.0.7:1", "10.0.0.8:1"})
+	again("10.0.0.7:1", "10.0.0.8:1", "10.0.0.9:1")
 	leaveSecond()
 	leaveThird, third := join("a", "10.0.0.6:1")
 	defer leaveThird()
-	qt.Assert(t, addresses(third()), qt.DeepEquals, []string{"10.0.0.6:1", "10.0.0.7:1", "10.0.0.8:1"})
+	third("10.0.0.6:1", "10.0.0.7:1", "10.0.0.8:1", "10.0.0.9:1")
 	leaveAgain()
-	for want := []string{"10.0.0.6:1", "10.0.0.8:1"}; ; {
-		if have := addresses(first()); slices.Equal(have, want) {
-			break
-		}
-	}
+	first("10.0.0.6:1", "10.0.0.8:1", "10.0.0.9:1")
 }
 
 // recorder is the server's side of a stream; it keeps what is sent.
--- a/fleetd/keeper/peers.go
+++ b/fleetd/keeper/peers.go
@@ -87,6 +87,7 @@
 		k.take(address, m, k.clock())
 		return nil
 	})
+	k.unheard(address)
 	if heard && ctx.Err() == nil {
 		eventer.ControlLost.Log(k.clock(), "control", address, "error", err.Error())
 	}
@@ -96,6 +97,17 @@
 	}
 }
 
+// unheard notes that a control host cannot be heard: the entry hosts that follow it may be out of reach too. They are
+// heard of again as soon as they follow another one.
+func (k *Keeper) unheard(address string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if o, ok := k.others[address]; ok {
+		o.hosts, k.list = nil, nil
+		k.others[address] = o
+	}
+}
+
 // take takes a message of another control host.
 func (k *Keeper) take(address string, m *peerv1.FollowResponse, now time.Time) {
 	for _, record := range m.GetLeaves() {
@@ -117,8 +129,8 @@
 	defer k.mu.Unlock()
 	other := k.others[address]
 	other.entries, other.heard, other.center, other.control = int(m.GetFollowers()), now, m.GetCenter(), m.GetControl()
-	if m.GetHosts() != nil {
-		other.hosts = m.GetHosts().GetHosts()
+	if h := m.GetHosts(); h != nil {
+		other.hosts, k.list = h.GetHosts(), nil
 	}
 	k.others[address] = other
 }
--- a/fleetd/linker/linker.go
+++ b/fleetd/linker/linker.go
@@ -10,6 +10,7 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
@@ -50,6 +51,18 @@
 	return dial, serve
 }
 
+const (
+	// watchInterval is the time without a message from a follower after which it is asked for a sign of life, and
+	// watchTimeout the time in which the sign must come.
+	watchInterval = time.Second
+	watchTimeout  = 700 * time.Millisecond
+)
+
+// Watch returns the option of servers that end the streams of followers that are frozen or cut off.
+func Watch() grpc.ServerOption {
+	return grpc.KeepaliveParams(keepalive.ServerParameters{Time: watchInterval, Timeout: watchTimeout})
+}
+
 // open opens a connection. A host without power answers nothing, and the first packet would be sent again only after a
 // second.
 func open(ctx context.Context, address string) (net.Conn, error) {
@@ -57,7 +70,7 @@
 }
 
 // Follow opens a stream to a control host and gives each message to receive, until the stream ends, goes silent or
-// receive returns an error.
+// receive returns an error. Receive gets the entry hosts whole, whatever the message itself says.
 func Follow(ctx context.Context, address string, request *peerv1.FollowRequest, receive func(*peerv1.FollowResponse) error) error {
 	dial, _ := Options()
 	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
@@ -73,12 +86,17 @@
 	if err != nil {
 		return cause(ctx, err)
 	}
+	var hosts []*peerv1.EntryHost
 	for {
 		message, err := stream.Recv()
 		if err != nil {
 			return cause(ctx, err)
 		}
 		watchdog.Reset(Silence)
+		if c := message.GetHosts(); c != nil {
+			hosts = apply(hosts, c)
+			message.Hosts = &peerv1.EntryHosts{Hosts: hosts, Whole: true}
+		}
 		if err := receive(message); err != nil {
 			return err
 		}
--- a/fleetd/peeker/peeker_test.go
+++ b/fleetd/peeker/peeker_test.go
@@ -49,12 +49,12 @@
 	near, far := pair(t)
 	_, err := far.Write([]byte("x"))
 	qt.Assert(t, err, qt.IsNil)
-	for peeker.Quiet(near) { //nolint:revive // The byte is on its way.
+	for peeker.Quiet(near) {
 	}
 	_, err = near.Read(make([]byte, 1))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, peeker.Quiet(near), qt.IsTrue)
 	qt.Assert(t, far.Close(), qt.IsNil)
-	for peeker.Quiet(near) { //nolint:revive // The end is on its way.
+	for peeker.Quiet(near) {
 	}
 }
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -111,7 +111,7 @@
 func serveControl(ctx context.Context, s *Settings, log *replica.Replica, keep *keeper.Keeper, clock func() time.Time) error {
 	stopping := make(chan struct{})
 	_, options := linker.Options()
-	peers := grpc.NewServer(options...)
+	peers := grpc.NewServer(append(options, linker.Watch())...)
 	peerv1.RegisterReplicaServiceServer(peers, log.Service())
 	peerv1.RegisterFollowServiceServer(peers, keeper.NewService(keep, stopping))
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.bind)
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -37,8 +37,8 @@
 	help := helper.NewClient(clock)
 	answer := answerer.New(s.Name, s.Center, follow, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
-	}, clock, answerer.WithScope(metrics.Scope), answerer.WithHelpers(s.peers.String(), s.Portion, help))
-	go sweep(running, clock, exchange.Sweep, answer.Sweep, func(time.Time) { help.Keep(follow.View().Helpers) })
+	}, clock, answerer.WithScope(metrics.Scope), answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, help))
+	go sweep(running, clock, exchange.Sweep, answer.Sweep, func(time.Time) { help.Keep(follow.View().Hosts()) })
 	limits := func() router.Limits {
 		if t := follow.View().Table; t != nil {
 			return t.Document().Limits
--- a/lib/divider/divider.go
+++ b/lib/divider/divider.go
@@ -4,23 +4,10 @@
 package divider
 
 import (
-	"slices"
 	"sync"
 	"time"
-
-	"lycheelift.example/lib/ranker"
 )
 
-// Divide cuts shards into portions of nearly the same length, at most size each.
-func Divide(shards []string, size int) [][]string {
-	count := (len(shards) + size - 1) / max(size, 1)
-	out := make([][]string, 0, count)
-	for i := range count {
-		out = append(out, shards[i*len(shards)/count:(i+1)*len(shards)/count])
-	}
-	return out
-}
-
 const (
 	// alternatives is the number of hosts from which one host chooses for a portion. Two are enough to go round a host
 	// that is lost or slow, and few connections are needed.
@@ -36,9 +23,13 @@
 // Table holds what this host has seen of the hosts that gather for it. It is safe for concurrent use.
 type Table struct {
 	self string
+	// gatherers is the number of hosts of a data centre that gather one portion.
+	gatherers int
 
 	mu    sync.Mutex
 	hosts map[string]*record
+	// duties holds since when this host has been responsible for each portion.
+	duties map[string]time.Time
 }
 
 type record struct {
@@ -48,9 +39,10 @@
 	at    time.Time
 }
 
-// New returns the table of a host, which is named by its address.
-func New(self string) *Table {
-	return &Table{self: self, hosts: make(map[string]*record)}
+// New returns the table of a host, which is named by its address. Gatherers is the number of hosts of a data centre that
+// gather one portion.
+func New(self string, gatherers int) *Table {
+	return &Table{self: self, gatherers: max(gatherers, 1), hosts: make(map[string]*record), duties: make(map[string]time.Time)}
 }
 
 // Self returns this host's own address.
@@ -58,20 +50,6 @@
 	return t.self
 }
 
-// Candidates returns the hosts that this host may ask for one of a number of portions, which is named by a key. Each
-// portion has its few hosts among all, so that the hosts of a data centre share its leaves' connections. The only
-// candidate is this host when it is one of them.
-func (t *Table) Candidates(key string, portions int, hosts []string) []string {
-	responsible := ranker.Order(key, hosts)
-	most := max(alternatives, (len(hosts)+portions-1)/max(portions, 1))
-	responsible = responsible[:min(len(responsible), most)]
-	if slices.Contains(responsible, t.self) {
-		return []string{t.self}
-	}
-	candidates := ranker.Order(key+"/"+t.self, responsible)
-	return candidates[:min(len(candidates), alternatives)]
-}
-
 // Choose returns the candidate that is expected to answer first. It returns this host's own address when no other one
 // can be asked. Usable reports whether a host can be asked at once.
 func (t *Table) Choose(candidates []string, usable func(string) bool, now time.Time) string {
@@ -162,3 +140,28 @@
 	}
 	t.hosts = kept
 }
+
+// Duties notes the portions for which this host is responsible now.
+func (t *Table) Duties(keys []string, now time.Time) {
+	next := make(map[string]time.Time, len(keys))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, key := range keys {
+		since, ok := t.duties[key]
+		if !ok {
+			since = now
+		}
+		next[key] = since
+	}
+	t.duties = next
+}
+
+// OnDuty reports whether this host has been responsible for a portion for a time. What the hosts that are responsible
+// share among them may then be used here: the host that was responsible before no longer uses it, and neither does this
+// host's process before its last start.
+func (t *Table) OnDuty(key string, least time.Duration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since, ok := t.duties[key]
+	return ok && now.Sub(since) >= least
+}
--- a/schema/gen/settings/fleetd/fleetd.go
+++ b/schema/gen/settings/fleetd/fleetd.go
@@ -169,6 +169,10 @@
 	// folders may found the group.
 	First bool `json:"first,omitempty,omitzero"`
 
+	// Number of entry hosts of a data centre that gather one portion. Few hosts know
+	// its leaves better; more carry a higher load.
+	Gatherers int `json:"gatherers,omitempty,omitzero"`
+
 	// Time between two heartbeats of a backend server.
 	Interval string `json:"interval,omitempty,omitzero"`
 
@@ -182,7 +186,7 @@
 	Name string `json:"name"`
 
 	// Number of shards that one entry host asks for a query at most; a query over
-	// twice as many is divided among the hosts of the data centre. 0 divides none.
+	// twice as many is divided among entry hosts. 0 divides none.
 	Portion int `json:"portion,omitempty,omitzero"`
 
 	// First and last port for connections between own processes; the same on every
@@ -253,6 +257,15 @@
 	if v, ok := raw["first"]; !ok || v == nil {
 		plain.First = false
 	}
+	if v, ok := raw["gatherers"]; !ok || v == nil {
+		plain.Gatherers = 3
+	}
+	if 1024 < plain.Gatherers {
+		return fmt.Errorf("field %s: must be <= %v", "gatherers", 1024)
+	}
+	if 1 > plain.Gatherers {
+		return fmt.Errorf("field %s: must be >= %v", "gatherers", 1)
+	}
 	if v, ok := raw["interval"]; !ok || v == nil {
 		plain.Interval = "1200ms"
 	}
