Follow a control host of the own data centre where there is one

Change: an entry host that follows elsewhere and knows a control host of its own data centre turns to it after 3 to 6 s, each at its own time, and after twice as long each time when that fails.

Test: TestHostsTurnHome.

--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -25,8 +25,13 @@
 	unsettledTime = 300 * time.Millisecond
 )
 
-// errUnsettled means that the control host has not heard from a leader for a while.
-var errUnsettled = errors.New("the control host is not in contact with a leader")
+// Errors of a stream that is given up.
+var (
+	// errUnsettled means that the control host has not heard from a leader for a while.
+	errUnsettled = errors.New("the control host is not in contact with a leader")
+	// errAway means that a control host of the own data centre is known and is to be tried.
+	errAway = errors.New("the control host is in another data centre, and the own one has one")
+)
 
 // Client follows one control host after the other.
 type Client struct {
@@ -41,6 +46,7 @@
 	mu sync.Mutex
 	// controls are the control hosts of which the last message told.
 	controls []control
+	home     home
 }
 
 type control struct {
@@ -50,7 +56,7 @@
 // NewClient returns a client that gives what it hears to a follower. Address is where this host gathers portions of
 // other hosts' queries, empty if it does not; seeds returns addresses of control hosts.
 func NewClient(f *Follower, host, center, address string, seeds func() []string, clock func() time.Time) *Client {
-	return &Client{follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock}
+	return &Client{follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock, home: newHome(host)}
 }
 
 // Run follows control hosts until ctx ends.
@@ -155,7 +161,8 @@
 // Claim reports whether to go on with this stream; it is asked at each message.
 func (c *Client) follow(ctx context.Context, address string, claim func(settled bool) bool) error {
 	request := &peerv1.FollowRequest{Host: c.host, Center: c.center, Address: c.address, Version: c.follower.View().Version()}
-	settled, first := c.clock(), true
+	began, first := c.clock(), true
+	settled := began
 	return linker.Follow(ctx, address, request, func(m *peerv1.FollowResponse) error {
 		if !claim(m.GetSettled()) {
 			return linker.ErrDone
@@ -175,10 +182,24 @@
 		if now.Sub(settled) >= unsettledTime {
 			return errUnsettled
 		}
+		if c.away(address, began, now) {
+			return errAway
+		}
 		return nil
 	})
 }
 
+// away reports whether to give up a control host of another data centre for one of the own.
+func (c *Client) away(address string, since, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.ContainsFunc(c.controls, func(k control) bool { return k.address == address && k.center == c.center }) {
+		c.home.arrived()
+		return false
+	}
+	return slices.ContainsFunc(c.controls, func(k control) bool { return k.center == c.center }) && c.home.due(since, now)
+}
+
 func (c *Client) learn(in []*peerv1.ControlHost) {
 	known := make([]control, 0, len(in))
 	for _, k := range in {
