--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -14,9 +15,11 @@
 	"lycheelift.example/fleetd/gauger"
 	"lycheelift.example/lib/budgeter"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/divider"
 	"lycheelift.example/lib/estimator"
 	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/router"
 	"lycheelift.example/lib/selector"
 )
 
@@ -42,6 +45,8 @@
 	retryWait = 100 * time.Millisecond
 	// gaugeInterval is the least time between two looks whether this host is cut off.
 	gaugeInterval = 100 * time.Millisecond
+	// aloneTime is how long this host's control host must have heard none of the others.
+	aloneTime = 300 * time.Millisecond
 	// startWait is the wait that a caller is told while this host knows too little: after the loss of all hosts the
 	// control hosts need about a second.
 	startWait = 500 * time.Millisecond
@@ -120,7 +125,8 @@
 		return a.cut.Load()
 	}
 	view := a.viewer.View()
-	evidence := gauger.Evidence{Stale: view.Age(now)}
+	evidence := gauger.Evidence{Stale: view.Age(now), Alone: view.IsAlone(aloneTime, now)}
+	evidence.Short = evidence.Alone && a.short(view)
 	for _, leaves := range view.Holders {
 		reached, lost := a.selector.Reach(leaves, a.center, now)
 		evidence.Reached += reached
@@ -137,6 +143,26 @@
 	return cut
 }
 
+// short reports whether the leaves of the own data centre do not suffice for some route.
+func (a *Answerer) short(view *follower.View) bool {
+	if view.Table == nil {
+		return false
+	}
+	routes := view.Table.Document().Routes
+	return slices.ContainsFunc(routes, func(r router.Route) bool { return a.lacks(view, &r) })
+}
+
+// lacks reports whether the leaves of the own data centre do not suffice for a route.
+func (a *Answerer) lacks(view *follower.View, r *router.Route) bool {
+	held := 0
+	for _, service := range r.Gather {
+		if slices.ContainsFunc(view.Holders[service], func(l *cataloguer.Leaf) bool { return l.Center == a.center }) {
+			held++
+		}
+	}
+	return float64(held) < r.Least*float64(len(r.Gather))
+}
+
 // Answer answers one request. The context ends when the caller no longer waits.
 func (a *Answerer) Answer(ctx context.Context, r *carrier.Request) *carrier.Reply {
 	view := a.viewer.View()
--- a/fleetd/answerer/divide.go
+++ b/fleetd/answerer/divide.go
@@ -18,6 +18,8 @@
 type Helper interface {
 	// Usable reports whether a host can be asked at once.
 	Usable(host string) bool
+	// Await waits until one of some hosts can be asked at once, none of them is being connected any more, or ctx ends.
+	Await(ctx context.Context, hosts []string)
 	// Gather has a portion gathered by a host. It returns an error that is ErrDeclined when it is certain that the host
 	// has not begun to.
 	Gather(ctx context.Context, host string, p *Portion, give func(*Parts)) error
@@ -32,6 +34,11 @@
 	assembleTime = 8 * time.Millisecond
 	// assembleShare bounds assembleTime to a part of short targets.
 	assembleShare = 4
+	// awaitTime is how long a query waits for a connection to a helper, and awaitShare bounds it to a part of short
+	// targets. A host that gathers a portion that is not its own opens connections to all its leaves: when all hosts have
+	// just started and do that, the leaves' connections do not suffice.
+	awaitTime  = 25 * time.Millisecond
+	awaitShare = 4
 	// dividedFactor is how many portions' shards a query has at least when it is divided: below, the way to another
 	// host costs more than it saves.
 	dividedFactor = 2
@@ -175,7 +182,7 @@
 		}
 	}
 	began := a.clock()
-	host := a.divider.Choose(s.candidates, a.helper.Usable, began)
+	host := q.choose(ctx, s.candidates, began)
 	if host != a.divider.Self() {
 		if err := q.ask(ctx, host, p, began, give); !errors.Is(err, ErrDeclined) {
 			return
@@ -184,6 +191,23 @@
 	a.Gather(ctx, p, give)
 }
 
+// choose returns the host that is to gather a portion. It waits a little for a candidate that is being connected.
+func (q *query) choose(ctx context.Context, candidates []string, now time.Time) string {
+	a := q.answerer
+	host := a.divider.Choose(candidates, a.helper.Usable, now)
+	if host != a.divider.Self() || slices.Contains(candidates, host) || len(candidates) == 0 {
+		return host
+	}
+	wait := awaitTime
+	if q.route.Target > 0 {
+		wait = min(wait, q.route.Target/awaitShare)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	a.helper.Await(ctx, candidates)
+	return a.divider.Choose(candidates, a.helper.Usable, a.clock())
+}
+
 // ask has a portion gathered by another host.
 func (q *query) ask(ctx context.Context, host string, p *Portion, began time.Time, give func(*Parts)) error {
 	a := q.answerer
--- a/fleetd/answerer/divide_test.go
+++ b/fleetd/answerer/divide_test.go
@@ -20,9 +20,31 @@
 	gather map[string]func(ctx context.Context, p *answerer.Portion, give func(*answerer.Parts)) error
 	hosts  map[string]*answerer.Answerer
 	asked  map[string]int
+	// connecting holds the hosts whose connections are not open yet.
+	connecting map[string]bool
 }
 
-func (h *helpers) Usable(string) bool { return true }
+func (h *helpers) Usable(host string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.connecting[host]
+}
+
+// Await takes the time that a connection needs.
+func (h *helpers) Await(ctx context.Context, hosts []string) {
+	select {
+	case <-time.After(connectTime):
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		for _, host := range hosts {
+			delete(h.connecting, host)
+		}
+	case <-ctx.Done():
+	}
+}
+
+// connectTime is the time in which a helper is connected.
+const connectTime = 5 * time.Millisecond
 
 func (h *helpers) Gather(ctx context.Context, host string, p *answerer.Portion, give func(*answerer.Parts)) error {
 	h.mu.Lock()
@@ -43,7 +65,7 @@
 	f := newFleet(divided)
 	h := &helpers{
 		gather: make(map[string]func(context.Context, *answerer.Portion, func(*answerer.Parts)) error),
-		hosts:  make(map[string]*answerer.Answerer), asked: make(map[string]int),
+		hosts:  make(map[string]*answerer.Answerer), asked: make(map[string]int), connecting: make(map[string]bool),
 	}
 	f.view.Helpers = make(map[string][]string)
 	for i := range 8 {
@@ -216,3 +238,22 @@
 		qt.Assert(t, took, qt.Equals, time.Duration(0))
 	})
 }
+
+// Load: all hosts lose power and start again, and each gets its first query before its helpers are connected. Guards
+// against hosts that then ask every leaf by themselves, for which the leaves' connections do not suffice.
+func TestFirstQueryWaitsForItsHelpers(t *testing.T) {
+	each(t, func(t *testing.T) {
+		_, a, h := newHelpers()
+		for host := range h.hosts {
+			h.connecting[host] = true
+		}
+		reply, took := ask(a, "/all/2f")
+		whole(t, reply)
+		qt.Assert(t, took, qt.Equals, connectTime+typical)
+		asked := 0
+		for _, n := range h.asked {
+			asked += n
+		}
+		qt.Assert(t, asked > 0, qt.IsTrue)
+	})
+}
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -108,6 +108,9 @@
 	if !q.deadline.After(now) {
 		return &carrier.Reply{Outcome: carrier.Refused, Reason: "the deadline has passed"}
 	}
+	if a := q.answerer; a.cut.Load() && a.lacks(q.view, route) {
+		return &carrier.Reply{Outcome: carrier.Refused, Wait: startWait, Reason: "this data centre is cut off, and its leaves do not suffice"}
+	}
 	if q.answerer.divides(q.view, q.shards) {
 		return q.gatherDivided(ctx)
 	}
--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -61,6 +61,12 @@
 	if h := m.GetHosts(); h != nil {
 		next.Helpers = helpers(h.GetHosts())
 	}
+	switch {
+	case !m.GetAlone():
+		next.Alone = time.Time{}
+	case next.Alone.IsZero():
+		next.Alone = now
+	}
 	if m.GetSettled() {
 		next.Settled = now
 	}
--- a/fleetd/follower/follower_test.go
+++ b/fleetd/follower/follower_test.go
@@ -92,3 +92,17 @@
 	f.Take(&peerv1.FollowResponse{Leaves: []*peerv1.RosterLeaf{leaf("x", 5, "a", "10.0.0.1:80")}}, start)
 	qt.Assert(t, names(f), qt.HasLen, 0)
 }
+
+// Load: a data centre is cut off. Guards against a host that takes itself for cut off at the first message of a control
+// host that was frozen, and against one that does not know when the cut is over.
+func TestControlHostThatStaysAlone(t *testing.T) {
+	f := follower.New(decode, start)
+	const least = 300 * time.Millisecond
+	f.Take(&peerv1.FollowResponse{Alone: true}, start)
+	qt.Assert(t, f.View().IsAlone(least, start), qt.IsFalse)
+	later := start.Add(least)
+	f.Take(&peerv1.FollowResponse{Alone: true}, later)
+	qt.Assert(t, f.View().IsAlone(least, later), qt.IsTrue)
+	f.Take(&peerv1.FollowResponse{}, later)
+	qt.Assert(t, f.View().IsAlone(least, later.Add(time.Hour)), qt.IsFalse)
+}
--- a/fleetd/follower/view.go
+++ b/fleetd/follower/view.go
@@ -25,10 +25,18 @@
 	Helpers map[string][]string
 	// Index is the newest record of the replicated log that is included.
 	Index uint64
+	// Alone is since when the control host that is followed hears none of the others; zero when it hears one.
+	Alone time.Time
 	// Settled is when this host last heard from a control host in contact with a leader.
 	Settled time.Time
 }
 
+// IsAlone reports whether the control host that is followed has heard none of the others for a time. Right after it was
+// frozen itself it has heard none either.
+func (v *View) IsAlone(least time.Duration, now time.Time) bool {
+	return !v.Alone.IsZero() && now.Sub(v.Alone) >= least
+}
+
 // Hosts lists the addresses of the entry hosts of all data centres.
 func (v *View) Hosts() []string {
 	var out []string
--- a/fleetd/gauger/gauger.go
+++ b/fleetd/gauger/gauger.go
@@ -27,6 +27,9 @@
 	Stale time.Duration
 	// Reached and Lost count the leaves of other data centres that can and cannot be reached.
 	Reached, Lost int
+	// Alone is true when the control host that is followed hears none of the others, and Short when the leaves of the own
+	// data centre do not suffice for every route.
+	Alone, Short bool
 }
 
 // alone reports whether hardly any leaf of another data centre can be reached.
@@ -70,7 +73,8 @@
 }
 
 // CutOff reports whether the host is cut off: out of contact with control and with the leaves of other data centres,
-// and unable to answer a part of its requests. Once cut off it stays so until it is in contact again, because no
+// and unable to answer a part of its requests. That shows in requests that have failed; or, before a host of many has had
+// two of them, in its control host hearing none of the others, which all hosts of a data centre learn at once. Once cut off it stays so until it is in contact again, because no
 // requests come that could show anything. Trouble of control or of leaves alone must not turn the callers of all hosts
 // away.
 func (g *Gauger) CutOff(e Evidence, now time.Time) bool {
@@ -80,6 +84,10 @@
 		g.cut = false
 		return false
 	}
+	if e.Alone && e.Short {
+		g.cut = true
+		return true
+	}
 	requests, failed := 0, 0
 	newest := now.UnixNano() / int64(span/steps)
 	for i := range steps {
--- a/fleetd/gauger/gauger_test.go
+++ b/fleetd/gauger/gauger_test.go
@@ -51,3 +51,19 @@
 	note(g, 10, 0, start)
 	qt.Assert(t, g.CutOff(alone(time.Minute), start.Add(2*time.Second)), qt.IsFalse)
 }
+
+// Load: a data centre of 36 hosts is cut off, each of which gets less than one request a second, and the leaves in it do
+// not suffice. Guards against hosts that turn callers away only after requests of their own have failed.
+func TestHostsOfACutCenterKnowWithoutRequests(t *testing.T) {
+	cut := gauger.Evidence{Stale: time.Second, Alone: true, Short: true}
+	qt.Assert(t, gauger.New().CutOff(cut, start), qt.IsTrue)
+	for name, change := range map[string]func(*gauger.Evidence){
+		"control hears a leader":   func(e *gauger.Evidence) { e.Stale = 500 * time.Millisecond },
+		"control hears the others": func(e *gauger.Evidence) { e.Alone = false },
+		"the leaves suffice":       func(e *gauger.Evidence) { e.Short = false },
+	} {
+		e := cut
+		change(&e)
+		qt.Check(t, gauger.New().CutOff(e, start), qt.IsFalse, qt.Commentf(name))
+	}
+}
--- a/fleetd/helper/client.go
+++ b/fleetd/helper/client.go
@@ -53,6 +53,39 @@
 	return conn.GetState() == connectivity.Ready
 }
 
+// Await waits until one of some hosts is connected, none of them is being connected any more, or ctx ends.
+func (c *Client) Await(ctx context.Context, hosts []string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var running sync.WaitGroup
+	for _, host := range hosts {
+		if c.Usable(host) {
+			break
+		}
+		c.mu.Lock()
+		conn := c.conns[host]
+		c.mu.Unlock()
+		if conn == nil {
+			continue
+		}
+		running.Go(func() {
+			if settled(ctx, conn) == connectivity.Ready {
+				cancel()
+			}
+		})
+	}
+	running.Wait()
+}
+
+// settled waits until a connection is no longer being opened, or ctx ends, and returns its state.
+func settled(ctx context.Context, conn *grpc.ClientConn) connectivity.State {
+	state := conn.GetState()
+	for (state == connectivity.Idle || state == connectivity.Connecting) && conn.WaitForStateChange(ctx, state) {
+		state = conn.GetState()
+	}
+	return state
+}
+
 // errUnconnected means that the connection was closed after the host was chosen.
 var errUnconnected = errors.New("the host is not connected")
 
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -41,6 +41,7 @@
 	revision uint64
 	started  bool
 	settled  bool
+	alone    bool
 	entries  uint32
 	controls int
 	hosts    []*peerv1.EntryHost
@@ -84,8 +85,8 @@
 
 // next returns the message that the follower is to get now, or nil.
 func (f *stream) next(view store.View, batch enroller.Batch, now time.Time) *peerv1.FollowResponse {
-	m := &peerv1.FollowResponse{Index: view.Index, Settled: f.keeper.Settled(now)}
-	changed := !f.started || m.GetSettled() != f.settled || now.Sub(f.sent) >= linker.Interval
+	m := &peerv1.FollowResponse{Index: view.Index, Settled: f.keeper.Settled(now), Alone: f.keeper.alone(now)}
+	changed := !f.started || m.GetSettled() != f.settled || m.GetAlone() != f.alone || now.Sub(f.sent) >= linker.Interval
 	if len(batch.Leaves) > 0 {
 		for _, l := range batch.Leaves {
 			m.Leaves = append(m.Leaves, enroller.Encode(l, now))
@@ -107,7 +108,7 @@
 	if !changed {
 		return nil
 	}
-	f.started, f.settled, f.revision, f.entries, f.sent = true, m.GetSettled(), batch.Revision, m.GetEntries(), now
+	f.started, f.settled, f.alone, f.revision, f.entries, f.sent = true, m.GetSettled(), m.GetAlone(), batch.Revision, m.GetEntries(), now
 	return m
 }
 
--- a/fleetd/keeper/peers.go
+++ b/fleetd/keeper/peers.go
@@ -97,6 +97,22 @@
 	}
 }
 
+// aloneTime is the time without a message of any other control host after which this one is alone. They send one at
+// least each linker.Interval.
+const aloneTime = time.Second
+
+// alone reports whether this host hears none of the other control hosts, of which it has heard before.
+func (k *Keeper) alone(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, o := range k.others {
+		if now.Sub(o.heard) < aloneTime {
+			return false
+		}
+	}
+	return len(k.others) > 0
+}
+
 // unheard notes that a control host cannot be heard: the entry hosts that follow it may be out of reach too. They are
 // heard of again as soon as they follow another one.
 func (k *Keeper) unheard(address string) {
--- /dev/null
+++ b/fleetd/keeper/peers_test.go
@@ -0,0 +1,43 @@
+package keeper
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+var begin = time.Unix(1000, 0)
+
+func newKeeper() *Keeper {
+	return New("core-1", "a", netip.MustParseAddrPort("10.0.0.1:80"), "10.0.0.1:7000", nil, nil, func() time.Time { return begin })
+}
+
+// Load: a data centre is cut off. Guards against a control host that does not know that it is alone, and against one that
+// takes itself for alone because it has just started or because some of the others are silent.
+func TestControlHostKnowsThatItIsAlone(t *testing.T) {
+	k := newKeeper()
+	qt.Assert(t, k.alone(begin.Add(time.Hour)), qt.IsFalse)
+	k.take("10.0.0.2:7000", &peerv1.FollowResponse{}, begin)
+	k.take("10.0.0.3:7000", &peerv1.FollowResponse{}, begin.Add(500*time.Millisecond))
+	qt.Assert(t, k.alone(begin.Add(1400*time.Millisecond)), qt.IsFalse)
+	qt.Assert(t, k.alone(begin.Add(1500*time.Millisecond)), qt.IsTrue)
+	k.take("10.0.0.2:7000", &peerv1.FollowResponse{}, begin.Add(2*time.Second))
+	qt.Assert(t, k.alone(begin.Add(2*time.Second)), qt.IsFalse)
+}
+
+// Load: a data centre is cut off, and its entry hosts follow its control host on. Guards against hosts elsewhere that go on
+// to ask them for portions, and against hosts that stay forgotten when they follow another control host.
+func TestHostsBehindASilentControlHostAreNotListed(t *testing.T) {
+	k := newKeeper()
+	hosts := &peerv1.EntryHosts{Hosts: []*peerv1.EntryHost{{Address: "10.2.0.1:1", Center: "b"}}, Whole: true}
+	k.take("10.0.0.2:7000", &peerv1.FollowResponse{Hosts: hosts}, begin)
+	qt.Assert(t, k.allHosts(), qt.HasLen, 1)
+	k.unheard("10.0.0.2:7000")
+	qt.Assert(t, k.allHosts(), qt.HasLen, 0)
+	k.take("10.0.0.3:7000", &peerv1.FollowResponse{Hosts: hosts}, begin)
+	qt.Assert(t, k.allHosts(), qt.HasLen, 1)
+}
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -21,8 +21,12 @@
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
-// sweepInterval is the time between two looks for connections that are not needed any more.
-const sweepInterval = time.Second
+const (
+	// sweepInterval is the time between two looks for connections that are not needed any more.
+	sweepInterval = time.Second
+	// firstInterval is the same before there is a configuration: helpers are connected before the first query.
+	firstInterval = 20 * time.Millisecond
+)
 
 // Entry serves an entry host until ctx ends.
 func Entry(ctx context.Context, s *Settings, clock func() time.Time) error {
@@ -38,7 +42,8 @@
 	answer := answerer.New(s.Name, s.Center, follow, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
 	}, clock, answerer.WithScope(metrics.Scope), answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, help))
-	go sweep(running, clock, exchange.Sweep, answer.Sweep, func(time.Time) { help.Keep(follow.View().Hosts()) })
+	go sweep(running, clock, func() bool { return follow.View().Table != nil },
+		exchange.Sweep, answer.Sweep, func(time.Time) { help.Keep(follow.View().Hosts()) })
 	limits := func() router.Limits {
 		if t := follow.View().Table; t != nil {
 			return t.Document().Limits
@@ -83,18 +88,26 @@
 	return oops.In("server").Wrapf(peers.Serve(listener), "serve %s", s.bind)
 }
 
-// sweep calls each function now and then until ctx ends.
-func sweep(ctx context.Context, clock func() time.Time, functions ...func(now time.Time)) {
-	ticker := time.NewTicker(sweepInterval)
+// sweep calls each function once when the host is configured, and then now and again until ctx ends.
+func sweep(ctx context.Context, clock func() time.Time, configured func() bool, functions ...func(now time.Time)) {
+	ticker := time.NewTicker(firstInterval)
 	defer ticker.Stop()
+	first := true
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			for _, f := range functions {
-				f(clock())
-			}
+		}
+		if first && !configured() {
+			continue
+		}
+		if first {
+			first = false
+			ticker.Reset(sweepInterval)
+		}
+		for _, f := range functions {
+			f(clock())
 		}
 	}
 }
