Take no answer that does not state which request it belongs to

Cause: an answer without the request's identity was taken for the request that waited on the connection. A second copy of an older answer, sent late on a connection in use again, by a leaf that leaves the identity out, would have reached the next caller; so would a late refusal, as a promise that a request has not run which may run.

Change: identity first, before anything else that the answer says.

Tests: cases 'no identity' and 'another's refusal' of TestRequestThatMayRunOnceIsSentOnce, which fail without the change. The stand-in leaf that sheds now states the identity as the platform's leaves do.

--- a/fleetd/answerer/answerer_test.go
+++ b/fleetd/answerer/answerer_test.go
@@ -80,8 +80,8 @@
 }
 
 // sheds refuses every call.
-func sheds(context.Context, *carrier.Call) (*carrier.Answer, error) {
-	return &carrier.Answer{Status: 503, Stamp: "s", NotRun: true}, nil
+func sheds(_ context.Context, c *carrier.Call) (*carrier.Answer, error) {
+	return &carrier.Answer{Status: 503, Stamp: "s", ID: c.Request.ID, NotRun: true}, nil
 }
 
 // breaks loses the connection after the request was sent.
@@ -251,6 +251,12 @@
 		"another's reply": {func(context.Context, *carrier.Call) (*carrier.Answer, error) {
 			return &carrier.Answer{Status: 200, Stamp: "s", ID: "other"}, nil
 		}, carrier.Failed, 1, false},
+		"no identity": {func(context.Context, *carrier.Call) (*carrier.Answer, error) {
+			return &carrier.Answer{Status: 200, Stamp: "s"}, nil
+		}, carrier.Failed, 1, false},
+		"another's refusal": {func(context.Context, *carrier.Call) (*carrier.Answer, error) {
+			return &carrier.Answer{Status: 503, Stamp: "s", ID: "other", NotRun: true}, nil
+		}, carrier.Failed, 1, false},
 		"no signature": {func(_ context.Context, c *carrier.Call) (*carrier.Answer, error) {
 			return &carrier.Answer{Status: 200, ID: c.Request.ID}, nil
 		}, carrier.Failed, 1, false},
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -163,8 +163,9 @@
 	}
 	a := r.answer
 	switch {
-	case a.ID != "" && a.ID != q.request.ID:
-		return verdict{reason: reasonLost, end: selector.Erred, text: "the answer belongs to another request"}
+	case a.ID != q.request.ID:
+		// Without the request's identity it may be a second copy of an older answer on the same connection.
+		return verdict{reason: reasonLost, end: selector.Erred, text: "the answer does not state that it belongs to the request"}
 	case a.Moved:
 		return verdict{reason: reasonNoReplica, notRun: true, end: selector.Unreachable, text: "another leaf has the address"}
 	case a.NotRun:
