Ask no host twice for a leaf that moves, so that calls are left for its replicas

Cause: a call that is refused for want of the lease goes to the host that is named instead. While a leaf moves, the host that gives it up names its successor, and the successor, which has no lease yet, the host that stops: the calls went to and fro until all six of the shard were used, and the shard was missing with REASON_NOT_OWNER although its other leaves had owners.

Change: a host that is named is asked once for a leaf; then the call goes to another replica.

Test: TestHostsThatNameEachOther, in lib/planner, which fails without the change.

--- a/lib/planner/retry.go
+++ b/lib/planner/retry.go
@@ -35,11 +35,22 @@
 	return r.Unsent && r.Reason != reasonOverload
 }
 
+// asked reports whether a host has been asked for a leaf of a shard in the present run.
+func (p *Planner) asked(i uint32, leaf, owner string) bool {
+	for n := p.shards[i].last; n != none; n = p.attempts[n].previous {
+		if t := &p.attempts[n].call.Target; t.Leaf.Name == leaf && t.Owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
 // other returns where the next call of a shard goes: to the owner that was named, to a replica not called yet, or
-// to the same leaf again when only the way to it failed.
+// to the same leaf again when only the way to it failed. Hosts between which a leaf moves may name each other: none is
+// asked twice.
 func (p *Planner) other(n int, r Result, now time.Time) (Target, bool) {
 	called := p.attempts[n].call.Target
-	if r.Reason == reasonNotOwner && r.Owner != "" && r.Owner != called.Owner {
+	if r.Reason == reasonNotOwner && r.Owner != "" && !p.asked(r.Shard, called.Leaf.Name, r.Owner) {
 		return Target{Leaf: called.Leaf, Owner: r.Owner}, true
 	}
 	if target, ok := p.world.Choose(r.Shard, p.snapshot.Holders[r.Shard], p.tried(r.Shard), now); ok {
