List no entry hosts behind a control host that has been silent for 0.9 s

Change: entry hosts that follow a control host of which two signs of life are late are not listed; the stream stays.

Test: TestHostsBehindASilentControlHostAreNotListed.

--- a/fleetd/keeper/entries.go
+++ b/fleetd/keeper/entries.go
@@ -65,18 +65,29 @@
 	return sorted(k.own())
 }
 
+// hostTime is the time without a message of another control host after which its entry hosts are not listed: two signs of
+// life are late. A data centre that is cut off is known sooner than by the end of the stream.
+const hostTime = 900 * time.Millisecond
+
 // allHosts lists the entry hosts that can be reached, as far as the control hosts hear them.
-func (k *Keeper) allHosts() []*peerv1.EntryHost {
+func (k *Keeper) allHosts(now time.Time) []*peerv1.EntryHost {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.list != nil {
+	heard := make([]string, 0, len(k.others))
+	for address, c := range k.others {
+		if now.Sub(c.heard) < hostTime {
+			heard = append(heard, address)
+		}
+	}
+	slices.Sort(heard)
+	if k.list != nil && slices.Equal(heard, k.heard) {
 		return k.list
 	}
 	all := k.own()
-	for _, c := range k.others {
-		all = append(all, c.hosts...)
+	for _, address := range heard {
+		all = append(all, k.others[address].hosts...)
 	}
-	k.list = sorted(all)
+	k.list, k.heard = sorted(all), heard
 	return k.list
 }
 
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -104,7 +104,7 @@
 		m.Controls = controls
 		f.controls = len(controls)
 	}
-	changed = f.entryHosts(m) || m.GetEntries() != f.entries || changed
+	changed = f.entryHosts(m, now) || m.GetEntries() != f.entries || changed
 	if !changed {
 		return nil
 	}
@@ -113,12 +113,12 @@
 }
 
 // entryHosts adds the entry hosts, if they are not those that the follower was told of.
-func (f *stream) entryHosts(m *peerv1.FollowResponse) bool {
+func (f *stream) entryHosts(m *peerv1.FollowResponse, now time.Time) bool {
 	var hosts []*peerv1.EntryHost
 	if f.request.GetControl() {
 		hosts = f.keeper.ownHosts()
 	} else {
-		hosts = f.keeper.allHosts()
+		hosts = f.keeper.allHosts(now)
 	}
 	if !f.started {
 		m.Hosts = &peerv1.EntryHosts{Hosts: hosts, Whole: true}
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -54,8 +54,10 @@
 	others    map[string]other
 	// streams counts the streams of each entry host that follows this host.
 	streams map[follower]int
-	// list are the entry hosts that can be reached; nil after a change.
-	list []*peerv1.EntryHost
+	// list are the entry hosts that can be reached, nil after a change, and heard the other control hosts that could be
+	// heard when it was made.
+	list  []*peerv1.EntryHost
+	heard []string
 	// control is where this host serves leaves and operators, and peer where it serves other hosts.
 	control netip.AddrPort
 	peer    string
--- a/fleetd/keeper/peers_test.go
+++ b/fleetd/keeper/peers_test.go
@@ -35,9 +35,13 @@
 	k := newKeeper()
 	hosts := &peerv1.EntryHosts{Hosts: []*peerv1.EntryHost{{Address: "10.2.0.1:1", Center: "b"}}, Whole: true}
 	k.take("10.0.0.2:7000", &peerv1.FollowResponse{Hosts: hosts}, begin)
-	qt.Assert(t, k.allHosts(), qt.HasLen, 1)
+	qt.Assert(t, k.allHosts(begin), qt.HasLen, 1)
 	k.unheard("10.0.0.2:7000")
-	qt.Assert(t, k.allHosts(), qt.HasLen, 0)
+	qt.Assert(t, k.allHosts(begin), qt.HasLen, 0)
 	k.take("10.0.0.3:7000", &peerv1.FollowResponse{Hosts: hosts}, begin)
-	qt.Assert(t, k.allHosts(), qt.HasLen, 1)
+	qt.Assert(t, k.allHosts(begin), qt.HasLen, 1)
+	qt.Assert(t, k.allHosts(begin.Add(899*time.Millisecond)), qt.HasLen, 1)
+	qt.Assert(t, k.allHosts(begin.Add(900*time.Millisecond)), qt.HasLen, 0)
+	k.take("10.0.0.3:7000", &peerv1.FollowResponse{}, begin.Add(time.Second))
+	qt.Assert(t, k.allHosts(begin.Add(time.Second)), qt.HasLen, 1)
 }
