--- a/loader/stager/stager.go
+++ b/loader/stager/stager.go
@@ -109,6 +109,9 @@
 	if err := d.Reachable(ctx); err != nil {
 		return d, err
 	}
+	if err := listening(ctx, d.operators); err != nil {
+		return d, err
+	}
 	if _, err := d.Patch(ctx, d.document()); err != nil {
 		return d, err
 	}
@@ -343,15 +346,32 @@
 	})
 }
 
+// pollInterval is the time between two looks whether a condition holds.
+const pollInterval = 10 * time.Millisecond
+
+// listening waits until a process listens on an address: the control host may start after all others.
+func listening(ctx context.Context, address string) error {
+	for {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		if err == nil {
+			return oops.Wrap(conn.Close())
+		}
+		select {
+		case <-ctx.Done():
+			return oops.Wrapf(err, "nothing listens on %s", address)
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
 // Until waits until a condition holds at every host.
 func (d *Deployment) Until(ctx context.Context, holds func(*Host) bool) error {
-	const interval = 10 * time.Millisecond
 	for _, h := range d.Hosts {
 		for !holds(h) {
 			select {
 			case <-ctx.Done():
 				return oops.Errorf("%s: condition does not hold: %w", h.Name, ctx.Err())
-			case <-time.After(interval):
+			case <-time.After(pollInterval):
 			}
 		}
 	}
