Take the state of a control host without a leader only when none with one is heard

Change: such a message is kept, and taken when its sender is chosen: at once when it hears a leader, else after 700 ms in which no other control host did.

Test: TestOlderStateIsNotTakenWhileALeaderMayBeHeard, which fails without the change.

--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -84,11 +84,14 @@
 		number, address := int32(started+1), candidates[started] //nolint:gosec // A few candidates.
 		started++
 		go func() {
-			claim := func(settled bool) bool {
+			claim := func(settled bool) verdict {
 				if winner.Load() == 0 && !settled && c.clock().Sub(began) < settledPreference {
-					return true // Heard, and not yet chosen.
+					return undecided
 				}
-				return winner.CompareAndSwap(0, number) || winner.Load() == number
+				if winner.CompareAndSwap(0, number) || winner.Load() == number {
+					return chosen
+				}
+				return passed
 			}
 			err := c.follow(ctx, address, claim)
 			if winner.Load() == number {
@@ -117,6 +120,17 @@
 	}
 }
 
+// verdict says what becomes of a control host that is heard.
+type verdict int
+
+const (
+	// undecided means that one in contact with a leader may still be heard.
+	undecided verdict = iota
+	chosen
+	// passed means that another one was chosen.
+	passed
+)
+
 // candidates lists the control hosts, those of the own data centre first. Hosts of one data centre begin at different
 // ones of the others.
 func (c *Client) candidates() []string {
@@ -158,20 +172,30 @@
 }
 
 // follow follows one control host until it goes silent or loses its leader.
-// Claim reports whether to go on with this stream; it is asked at each message.
-func (c *Client) follow(ctx context.Context, address string, claim func(settled bool) bool) error {
+// Claim decides on the stream; it is asked at each message. What a control host says that is not in contact with a leader
+// may be older than what this host's process knew before its last start: it is taken only once the host is chosen.
+func (c *Client) follow(ctx context.Context, address string, claim func(settled bool) verdict) error {
 	request := &peerv1.FollowRequest{Host: c.host, Center: c.center, Address: c.address, Version: c.follower.View().Version()}
 	began, first := c.clock(), true
 	settled := began
+	var held []*peerv1.FollowResponse
 	return linker.Follow(ctx, address, request, func(m *peerv1.FollowResponse) error {
-		if !claim(m.GetSettled()) {
+		held = append(held, m)
+		switch claim(m.GetSettled()) {
+		case passed:
 			return linker.ErrDone
+		case undecided:
+			return nil
+		case chosen:
 		}
 		now := c.clock()
-		c.follower.Take(m, now)
-		if k := m.GetControls(); len(k) > 0 {
-			c.learn(k)
+		for _, m := range held {
+			c.follower.Take(m, now)
+			if k := m.GetControls(); len(k) > 0 {
+				c.learn(k)
+			}
 		}
+		held = nil
 		if first {
 			first = false
 			eventer.ControlFollowed.Log(now, "control", address, "settled", m.GetSettled(), "index", m.GetIndex(), "leaves", len(m.GetLeaves()))
--- a/fleetd/follower/run_test.go
+++ b/fleetd/follower/run_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc"
 
 	"lycheelift.example/fleetd/follower"
+	"lycheelift.example/lib/router"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
@@ -95,3 +96,39 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Load: all hosts lose power. The control host that is heard first has not heard from a leader yet and knows an older
+// configuration. Guards against an entry host that goes back to what was in force before, and to leaves that had left.
+func TestOlderStateIsNotTakenWhileALeaderMayBeHeard(t *testing.T) {
+	first, second := startControl(t), startControl(t)
+	var mu sync.Mutex
+	var taken []string
+	f := follower.New(func(body []byte) (*router.Document, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		taken = append(taken, string(body))
+		return decode(body)
+	}, start)
+	client := follower.NewClient(f, "entry", "a", "", func() []string { return []string{first.address, second.address} }, func() time.Time { return start })
+	first.messages <- &peerv1.FollowResponse{Index: 1, Document: document(1), Leaves: []*peerv1.RosterLeaf{leaf("left", 1, "a", "10.0.0.1:80")}}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		client.Run(ctx)
+		close(ended)
+	}()
+	defer func() {
+		cancel()
+		<-ended
+	}()
+	for len(first.messages) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	first.messages <- &peerv1.FollowResponse{Index: 1}
+	second.messages <- &peerv1.FollowResponse{Index: 2, Settled: true, Document: document(2)}
+	eventually(f, 2)
+	mu.Lock()
+	defer mu.Unlock()
+	qt.Assert(t, taken, qt.DeepEquals, []string{"version 2"})
+	qt.Assert(t, names(f), qt.HasLen, 0)
+}
