Answer the calls of leaves and operators that have arrived when a control host stops

Cause: a stopping control host closed its address and all connections to leaves and operators at once, also those on which a configuration or a heartbeat had just been accepted: they ended without an answer.

Guarded by the tests of package receiver.

--- a/fleetd/receiver/receiver.go
+++ b/fleetd/receiver/receiver.go
@@ -44,6 +44,7 @@
 	clock func() time.Time
 	// quiet reports whether a connection without a request holds no byte of the next one.
 	quiet    func(net.Conn) bool
+	notice   time.Duration
 	stopping atomic.Bool
 
 	mu sync.Mutex
@@ -62,10 +63,17 @@
 	return func(r *Receiver) { r.quiet = quiet }
 }
 
+// WithNotice sets how long a stopping host goes on to take connections before it closes those without a request.
+func WithNotice(notice time.Duration) Option {
+	return func(r *Receiver) { r.notice = notice }
+}
+
 // New returns a receiver. Idle returns how long a connection may stay without a request, 0 for no bound; grace is the
 // time in which it must stop.
 func New(idle func() time.Duration, grace time.Duration, clock func() time.Time, options ...Option) *Receiver {
-	r := &Receiver{idle: idle, grace: grace, clock: clock, quiet: peeker.Quiet, rest: make(map[net.Conn]time.Time)}
+	r := &Receiver{
+		idle: idle, grace: grace, clock: clock, quiet: peeker.Quiet, notice: min(noticeTime, grace/2), rest: make(map[net.Conn]time.Time), //nolint:mnd // The other half is for the requests.
+	}
 	for _, o := range options {
 		o(r)
 	}
@@ -124,8 +132,7 @@
 // drained closes connections without a request once the load balancer has noticed the stop, and reports whether no
 // connection is left and none has come for a while.
 func (r *Receiver) drained(began, now time.Time) bool {
-	notice := min(noticeTime, r.grace/2)
-	if now.Sub(began) < notice {
+	if now.Sub(began) < r.notice {
 		return false
 	}
 	r.close(now, quietTime)
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -16,6 +16,7 @@
 	"lycheelift.example/controld/store"
 	"lycheelift.example/fleetd/keeper"
 	"lycheelift.example/fleetd/linker"
+	"lycheelift.example/fleetd/receiver"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
 	"lycheelift.example/lib/journaler"
@@ -38,6 +39,8 @@
 	mostVoters = 9
 	// handOverTime bounds the wait for another host to take over the lead on a graceful stop.
 	handOverTime = 1500 * time.Millisecond
+	// callsTime bounds the time in which the calls of leaves and operators end on a graceful stop.
+	callsTime = 2500 * time.Millisecond
 	// logFolder is the part of the data folder that holds the replicated log.
 	logFolder = "log"
 	// rosterFolder is the part that holds the leaves heard before a restart.
@@ -118,15 +121,18 @@
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen on %s", s.bind)
 	}
-	failed := make(chan error, 2)
+	failed, served := make(chan error, 1), make(chan error, 1)
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	go func() { failed <- peers.Serve(listener) }()
-	go func() { failed <- serve(serving, s.Listen.Control, platform.NewControl(keep, clock)) }()
+	receive := receiver.New(func() time.Duration { return 0 }, callsTime, clock, receiver.WithNotice(0))
+	go func() { served <- receive.Run(serving, s.Listen.Control, platform.NewControl(keep, clock)) }()
 	eventer.Started.Log(clock(), "host", s.Name, "role", "control", "center", s.Center, "control", s.Listen.Control, "seeds", s.Seeds, "first", s.First)
 	select {
 	case err := <-failed:
 		return oops.In("server").Wrapf(err, "serve")
+	case err := <-served:
+		return err
 	case <-ctx.Done():
 	}
 	eventer.Draining.Log(clock(), "host", s.Name)
@@ -134,8 +140,10 @@
 	defer cancel()
 	// Without a successor the group elects a leader by itself.
 	_ = log.HandOver(yield)
+	stop()
+	err = <-served // The calls of leaves and operators that have arrived are answered.
 	close(stopping)
 	peers.Stop()
 	eventer.Stopped.Log(clock(), "host", s.Name)
-	return nil
+	return err
 }
