--- a/entryd/isolator/isolator_test.go
+++ b/entryd/isolator/isolator_test.go
@@ -41,19 +41,25 @@
 	return s.isolate.Suspect(ctx, in)
 }
 
+// join returns the isolator of a host that the others can reach.
+func (n network) join(t *testing.T, name string, cells func() []ranker.Cell) *isolator.Isolator {
+	out := isolator.New(name, cells, n, time.Now)
+	listener := bufconn.Listen(1 << 16)
+	n[name] = listener
+	server := grpc.NewServer()
+	peerv1.RegisterPeerServiceServer(server, service{isolate: out})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(server.Stop)
+	return out
+}
+
 // Guards against hosts of another cell that are not told of a suspect, also when the first of the cell is down, and
 // against a suspect that is not cleared everywhere.
 func TestSuspectReachesEveryHost(t *testing.T) {
 	cells := func() []ranker.Cell { return []ranker.Cell{{Hosts: []string{"a"}}, {Hosts: []string{"b", "c", "d"}}} }
 	down, hosts := network{}, map[string]*isolator.Isolator{}
 	for _, name := range []string{"a", "c", "d"} {
-		hosts[name] = isolator.New(name, cells, down, time.Now)
-		listener := bufconn.Listen(1 << 16)
-		down[name] = listener
-		server := grpc.NewServer()
-		peerv1.RegisterPeerServiceServer(server, service{isolate: hosts[name]})
-		go func() { _ = server.Serve(listener) }()
-		t.Cleanup(server.Stop)
+		hosts[name] = down.join(t, name, cells)
 	}
 	told := make(chan struct{})
 	call := &planner.Call{Attempt: "a/1", Canary: true, Target: planner.Target{Leaf: &cataloguer.Leaf{Name: "leaf"}}}
@@ -81,13 +87,7 @@
 	cells := func() []ranker.Cell { return []ranker.Cell{{Hosts: []string{"a", "b"}}} }
 	near, hosts := network{}, map[string]*isolator.Isolator{}
 	for _, name := range []string{"a", "b"} {
-		hosts[name] = isolator.New(name, cells, near, time.Now)
-		listener := bufconn.Listen(1 << 16)
-		near[name] = listener
-		server := grpc.NewServer()
-		peerv1.RegisterPeerServiceServer(server, service{isolate: hosts[name]})
-		go func() { _ = server.Serve(listener) }()
-		t.Cleanup(server.Stop)
+		hosts[name] = near.join(t, name, cells)
 	}
 	leaf := &cataloguer.Leaf{Name: "leaf", Incarnation: 3}
 	for name, h := range hosts {
--- a/fleetd/follower/run_test.go
+++ b/fleetd/follower/run_test.go
@@ -67,24 +67,29 @@
 	}
 }
 
-// Guards against an entry host that waits for a control host which answers nothing, and against one that stays with
-// a control host which has lost its leader while another one has not.
-func TestNextControlHostIsFollowed(t *testing.T) {
-	first, second := startControl(t), startControl(t)
-	f := follower.New(decode, time.Now())
-	mute := silent(t)
-	seeds := func() []string { return []string{mute, first.address} }
-	client := follower.NewClient(f, "entry", "a", "", seeds, time.Now)
+// run runs a client; the function that it returns ends it.
+func run(client *follower.Client) func() {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
 		client.Run(ctx)
 		close(ended)
 	}()
-	defer func() {
+	return func() {
 		cancel()
 		<-ended
-	}()
+	}
+}
+
+// Guards against an entry host that waits for a control host which answers nothing, and against one that stays with
+// a control host which has lost its leader while another one has not.
+func TestNextControlHostIsFollowed(t *testing.T) {
+	first, second := startControl(t), startControl(t)
+	f := follower.New(decode, time.Now())
+	mute := silent(t)
+	seeds := func() []string { return []string{mute, first.address} }
+	client := follower.NewClient(f, "entry", "a", "", seeds, time.Now)
+	defer run(client)()
 	first.messages <- &peerv1.FollowResponse{
 		Index: 1, Settled: true, Document: document(1),
 		Controls: []*peerv1.ControlHost{{Address: first.address, Center: "a"}, {Address: second.address, Center: "b"}},
@@ -111,16 +116,7 @@
 	}, start)
 	client := follower.NewClient(f, "entry", "a", "", func() []string { return []string{first.address, second.address} }, func() time.Time { return start })
 	first.messages <- &peerv1.FollowResponse{Index: 1, Document: document(1), Leaves: []*peerv1.RosterLeaf{leaf("left", 1, "a", "10.0.0.1:80")}}
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		client.Run(ctx)
-		close(ended)
-	}()
-	defer func() {
-		cancel()
-		<-ended
-	}()
+	defer run(client)()
 	for len(first.messages) > 0 {
 		time.Sleep(time.Millisecond)
 	}
