--- a/entryd/pooler/pooler.go
+++ b/entryd/pooler/pooler.go
@@ -34,6 +34,10 @@
 	// server may not have noticed yet. A server that does not answer pings notices later.
 	linger       = 100 * time.Millisecond
 	lingerSilent = 5 * time.Second
+	// maxAnswer and maxHeader bound what a server sends for one call, in bytes: the same as a message between hosts may
+	// have, which carries the answer on.
+	maxAnswer = 4 << 20
+	maxHeader = 64 << 10
 )
 
 // Pool is the set of connections to one leaf. It is safe for concurrent use.
@@ -158,7 +162,7 @@
 	protocols := &http.Protocols{}
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		Protocols: protocols, DisableCompression: true,
+		Protocols: protocols, DisableCompression: true, MaxResponseHeaderBytes: maxHeader,
 		HTTP2: &http.HTTP2Config{SendPingTimeout: silenceIdle, PingTimeout: silenceAnswer},
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -348,7 +352,13 @@
 	if !c.pool.guard() {
 		return nil, ErrGuarded
 	}
-	return c.client.RoundTrip(r)
+	response, err := c.client.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	// Connect's own bound would read on to the end of the body so that the connection can be used again.
+	response.Body = http.MaxBytesReader(nil, response.Body, maxAnswer)
+	return response, nil
 }
 
 // Written returns the number of bytes written so far. A call during which it did not change reached no server.
