Keep portions running at hosts whose control host is silent for a moment

Change: a connection is closed when its host has not been listed for 10 s. Test: TestUnlistedHostGathersOn, which fails when it is closed at once.

--- a/fleetd/helper/client.go
+++ b/fleetd/helper/client.go
@@ -29,12 +29,14 @@
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
+	// unlisted holds since when connected hosts have not been listed.
+	unlisted map[string]time.Time
 }
 
 // NewClient returns a client without connections.
 func NewClient(clock func() time.Time) *Client {
 	dial, _ := linker.Options()
-	return &Client{clock: clock, dial: dial, conns: make(map[string]*grpc.ClientConn)}
+	return &Client{clock: clock, dial: dial, conns: make(map[string]*grpc.ClientConn), unlisted: make(map[string]time.Time)}
 }
 
 // Usable reports whether a host is connected. The connection to a host that is not is opened meanwhile.
@@ -129,13 +131,26 @@
 	}
 }
 
-// Keep closes the connections to all hosts but those that are given.
-func (c *Client) Keep(hosts []string) {
+// keepTime is how long the connection to a host is kept that is not listed any more: its control host may only have been
+// silent for a moment, and portions that it gathers go on.
+const keepTime = 10 * time.Second
+
+// Keep closes the connections to hosts that have not been among those that are given for a time.
+func (c *Client) Keep(hosts []string, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for host, conn := range c.conns {
-		if !slices.Contains(hosts, host) {
+		if slices.Contains(hosts, host) {
+			delete(c.unlisted, host)
+			continue
+		}
+		since, ok := c.unlisted[host]
+		if !ok {
+			c.unlisted[host] = now
+		}
+		if ok && now.Sub(since) >= keepTime {
 			delete(c.conns, host)
+			delete(c.unlisted, host)
 			_ = conn.Close()
 		}
 	}
--- a/fleetd/helper/helper_test.go
+++ b/fleetd/helper/helper_test.go
@@ -96,11 +96,42 @@
 	err := c.Gather(context.Background(), host, portion(), func(*answerer.Parts) { t.Error("parts were given") })
 	qt.Assert(t, err, qt.ErrorIs, answerer.ErrDeclined)
 	qt.Assert(t, g.got.Load(), qt.IsNil)
-	c.Keep(nil)
+	forget(c)
 	err = c.Gather(context.Background(), host, portion(), nil)
 	qt.Assert(t, err, qt.ErrorIs, answerer.ErrDeclined)
 }
 
+// forget has a client close the connections to all hosts.
+func forget(c *helper.Client) {
+	now := time.Now()
+	c.Keep(nil, now)
+	c.Keep(nil, now.Add(time.Minute))
+}
+
+// Load: a control host is silent for some seconds, and the entry hosts that follow it are not listed meanwhile. Guards
+// against portions that they gather being given up, and against connections to hosts that are gone for good.
+func TestUnlistedHostGathersOn(t *testing.T) {
+	g := &gatherer{hang: true, left: make(chan struct{})}
+	host := serve(t, g, false)
+	c := helper.NewClient(time.Now)
+	connected(c, host)
+	ended := make(chan error, 1)
+	go func() { ended <- c.Gather(context.Background(), host, portion(), func(*answerer.Parts) {}) }()
+	for g.got.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	now := time.Now()
+	c.Keep(nil, now)
+	c.Keep(nil, now.Add(9*time.Second))
+	c.Keep([]string{host}, now.Add(9*time.Second))
+	c.Keep(nil, now.Add(11*time.Second))
+	qt.Assert(t, c.Usable(host), qt.IsTrue)
+	qt.Assert(t, ended, qt.HasLen, 0)
+	c.Keep(nil, now.Add(21*time.Second))
+	qt.Assert(t, <-ended, qt.IsNotNil)
+	<-g.left
+}
+
 // Guards against work that goes on at another host for a caller who has left, and against a connection that is kept
 // though it has gone silent.
 func TestGivenUpPortionEndsAtTheOtherHost(t *testing.T) {
@@ -133,5 +164,5 @@
 	c := helper.NewClient(time.Now)
 	qt.Assert(t, c.Usable(address), qt.IsFalse)
 	qt.Assert(t, c.Usable("no address"), qt.IsFalse)
-	c.Keep(nil)
+	forget(c)
 }
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -43,7 +43,7 @@
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
 	}, clock, answerer.WithScope(metrics.Scope), answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, help))
 	go sweep(running, clock, func() bool { return follow.View().Table != nil },
-		exchange.Sweep, answer.Sweep, func(time.Time) { help.Keep(follow.View().Hosts()) })
+		exchange.Sweep, answer.Sweep, func(now time.Time) { help.Keep(follow.View().Hosts(), now) })
 	limits := func() router.Limits {
 		if t := follow.View().Table; t != nil {
 			return t.Document().Limits
