Divide a leaf's connections among the hosts that gather, and know a cut while no control host is chosen

Changes: three quarters of a leaf's connections are divided among the hosts on duty, as the extra calls are. Whether a control host is alone is noted from any message.

Test: TestGatherersShareTheConnections, which fails without the change.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -29,6 +29,9 @@
 	leastShare = 2
 	// mostShare bounds it while this host may not know of all the others, as after the loss of all hosts.
 	mostShare = 6
+	// dutyPart of dutyWhole of a leaf's connections are divided among the hosts that gather its portion; the others are
+	// for hosts that step in.
+	dutyPart, dutyWhole = 3, 4
 	// localFactor multiplies the share for leaves of the own data centre, which hosts elsewhere use little.
 	localFactor = 2
 )
@@ -92,6 +95,10 @@
 	if !ok || s.Connections <= 0 {
 		return leastShare
 	}
+	if q.give != nil && q.answerer.onDuty(q.key, q.answerer.clock()) {
+		// The hosts that gather a portion call its leaves, hosts of the leaf's data centre with a larger share.
+		return min(max(leastShare, dutyPart*s.Connections/(dutyWhole*max(q.answerer.divider.Callers(q.view.Helpers), 1))), mostShare)
+	}
 	return min(max(leastShare, s.Connections/max(q.view.Entries, 1)), mostShare)
 }
 
--- a/fleetd/answerer/divide_test.go
+++ b/fleetd/answerer/divide_test.go
@@ -11,6 +11,7 @@
 
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/router"
 )
 
 // helpers are the other hosts of a data centre, which see the same leaves.
@@ -257,3 +258,39 @@
 		qt.Assert(t, asked > 0, qt.IsTrue)
 	})
 }
+
+// Load: many hosts, few of which gather each portion, and slow leaves, which hold connections for long. Guards against
+// calls that are not made because each host has only its part of connections divided among all hosts, and against a host
+// that takes the larger part before its predecessor has given it up.
+func TestGatherersShareTheConnections(t *testing.T) {
+	each(t, func(t *testing.T) {
+		f, _, h := newHelpers()
+		f.view.Entries = 100
+		document := *f.view.Table.Document()
+		for i := range document.Services {
+			document.Services[i].Connections = 124
+		}
+		f.view.Table = router.NewTable(&document)
+		bounds := answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+		everyone := len(f.view.Helpers["a"])
+		a := answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithRandom(func() float64 { return 0 }), answerer.WithHelpers("self", 9, everyone, h))
+		shares := func() map[int]bool {
+			f.calls = nil
+			now := time.Now()
+			a.Gather(context.Background(), &answerer.Portion{
+				Request: &carrier.Request{ID: "x", Received: now}, Route: "all", Goal: target, Key: "a/0/4", Services: []string{"s0", "s1"},
+				Top: 3, Attempts: 2, Aim: now.Add(target), Deadline: now.Add(timeout),
+			}, func(*answerer.Parts) {})
+			out := make(map[int]bool)
+			for _, c := range f.calls {
+				out[c.Share] = true
+			}
+			return out
+		}
+		a.Sweep(time.Now())
+		qt.Assert(t, shares(), qt.DeepEquals, map[int]bool{4: true})
+		time.Sleep(bounds.Window)
+		qt.Assert(t, shares(), qt.DeepEquals, map[int]bool{12: true})
+		qt.Assert(t, everyone*6*2 <= 124, qt.IsTrue)
+	})
+}
--- a/fleetd/answerer/world.go
+++ b/fleetd/answerer/world.go
@@ -130,6 +130,11 @@
 	return a.budget.Spend(w.shards[shard], (*query)(w).slack(a.clock()), a.clock())
 }
 
+// onDuty reports whether this host has been responsible for a portion for a whole window.
+func (a *Answerer) onDuty(key string, now time.Time) bool {
+	return a.divider != nil && a.divider.OnDuty(key, a.bounds.Window, now)
+}
+
 // slack returns this host's part of the extra calls of a service that are permitted without requests. Calls to the
 // leaves of a portion are made by the hosts that gather it, which share them, and by others only where those are lost.
 func (q *query) slack(now time.Time) float64 {
@@ -138,7 +143,7 @@
 	if q.give == nil || a.divider == nil {
 		return all / float64(max(q.view.Entries, 1))
 	}
-	if !a.divider.OnDuty(q.key, a.bounds.Window, now) {
+	if !a.onDuty(q.key, now) {
 		return 0
 	}
 	return all / float64(max(a.divider.Callers(q.view.Helpers), 1))
--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -61,12 +61,7 @@
 	if h := m.GetHosts(); h != nil {
 		next.Helpers = helpers(h.GetHosts())
 	}
-	switch {
-	case !m.GetAlone():
-		next.Alone = time.Time{}
-	case next.Alone.IsZero():
-		next.Alone = now
-	}
+	next.lonely(m.GetAlone(), now)
 	if m.GetSettled() {
 		next.Settled = now
 	}
@@ -76,6 +71,15 @@
 	f.view.Store(&next)
 }
 
+// Lonely notes whether a control host that is heard hears any of the others.
+func (f *Follower) Lonely(alone bool, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := *f.view.Load()
+	next.lonely(alone, now)
+	f.view.Store(&next)
+}
+
 // apply puts a document into force.
 func (f *Follower) apply(next *View, body []byte, now time.Time) {
 	document, err := f.decode(body)
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -185,6 +185,7 @@
 		case passed:
 			return linker.ErrDone
 		case undecided:
+			c.follower.Lonely(m.GetAlone(), c.clock())
 			return nil
 		case chosen:
 		}
--- a/fleetd/follower/view.go
+++ b/fleetd/follower/view.go
@@ -37,6 +37,15 @@
 	return !v.Alone.IsZero() && now.Sub(v.Alone) >= least
 }
 
+func (v *View) lonely(alone bool, now time.Time) {
+	switch {
+	case !alone:
+		v.Alone = time.Time{}
+	case v.Alone.IsZero():
+		v.Alone = now
+	}
+}
+
 // Hosts lists the addresses of the entry hosts of all data centres.
 func (v *View) Hosts() []string {
 	var out []string
