--- a/fleetd/follower/run_test.go
+++ b/fleetd/follower/run_test.go
@@ -120,7 +120,10 @@
 	for len(first.messages) > 0 {
 		time.Sleep(time.Millisecond)
 	}
-	first.messages <- &peerv1.FollowResponse{Index: 1}
+	first.messages <- &peerv1.FollowResponse{Index: 1, Alone: true}
+	for f.View().Alone.IsZero() {
+		time.Sleep(time.Millisecond) // That a control host is alone is believed at once.
+	}
 	second.messages <- &peerv1.FollowResponse{Index: 2, Settled: true, Document: document(2)}
 	eventually(f, 2)
 	mu.Lock()
--- a/fleetd/follower/view.go
+++ b/fleetd/follower/view.go
@@ -37,6 +37,7 @@
 	return !v.Alone.IsZero() && now.Sub(v.Alone) >= least
 }
 
+// lonely notes whether a control host hears any of the others, in a view that is being made.
 func (v *View) lonely(alone bool, now time.Time) {
 	switch {
 	case !alone:
