Note a call's owner before the fake dispatcher returns, so that a test reads it without a race

The test read the list of owners while the goroutine of a hedge, whose query had ended already, still appended to it; the same goroutine could also append an owner of the first phase after the list had been emptied for the second. Change: the fake notes the owner in Send, under its lock, before it returns; tests take the list by a method. The time that a fake leaf takes is set under the lock too. The assertions stay, and calls whose goroutine has not run yet count now.

--- a/entryd/acceptor/acceptor_test.go
+++ b/entryd/acceptor/acceptor_test.go
@@ -3,7 +3,7 @@
 import (
 	"os"
 	"path/filepath"
-	"strings"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -62,23 +62,20 @@
 	for range 20 {
 		d.ask(0, &callerv1.QueryRequest{})
 	}
-	qt.Assert(t, strings.Contains(strings.Join(d.fleet.owners, " "), "host-a"), qt.IsTrue)
+	qt.Assert(t, slices.Contains(d.fleet.takeOwners(), "host-a"), qt.IsTrue)
 	d.configure(t, 2, services, []string{"a"})
-	d.fleet.mu.Lock()
-	d.fleet.owners = nil
-	d.fleet.mu.Unlock()
 	for range 20 {
 		out, _ := d.ask(0, &callerv1.QueryRequest{Least: 1})
 		qt.Assert(t, out.GetOutcome(), qt.Equals, callerv1.Outcome_OUTCOME_WHOLE)
 	}
-	qt.Assert(t, strings.Contains(strings.Join(d.fleet.owners, " "), "host-a"), qt.IsFalse)
+	qt.Assert(t, slices.Contains(d.fleet.takeOwners(), "host-a"), qt.IsFalse)
 }
 
 // Guards against queries beyond the host's limit, and against a refusal that does not say so.
 func TestQueriesAboveTheLimitAreNotRun(t *testing.T) {
 	d := deploy(t, 1, map[string]any{"desk": map[string]any{}}, acceptor.WithQueries(1))
 	d.ask(0, &callerv1.QueryRequest{})
-	d.fleet.hold = 200 * time.Millisecond
+	d.fleet.slow(200 * time.Millisecond)
 	var wait sync.WaitGroup
 	wait.Go(func() { d.ask(0, &callerv1.QueryRequest{}) })
 	time.Sleep(50 * time.Millisecond)
--- a/entryd/acceptor/harness_test.go
+++ b/entryd/acceptor/harness_test.go
@@ -42,7 +42,6 @@
 	mu     sync.Mutex
 	free   *sync.Cond
 	leaves map[string]*leaf
-	calls  []*peerv1.Call
 	owners []string
 	hold   time.Duration
 }
@@ -53,15 +52,18 @@
 	return f
 }
 
-// Send runs a call on its fake leaf.
+// Send notes the owner before it returns, and runs a call on its fake leaf.
 func (f *fleet) Send(owner string, call *peerv1.Call, box *dispatcher.Mailbox) {
-	go f.execute(owner, call, box)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.owners = append(f.owners, owner)
+	go f.execute(call, box)
 }
 
 // Cancel does nothing: results that come later are the acceptor's to drop.
 func (f *fleet) Cancel(string, string) {}
 
-func (f *fleet) execute(owner string, call *peerv1.Call, box *dispatcher.Mailbox) {
+func (f *fleet) execute(call *peerv1.Call, box *dispatcher.Mailbox) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	l, ok := f.leaves[call.GetLeaf()]
@@ -73,8 +75,6 @@
 		f.free.Wait()
 	}
 	l.alone = call.GetAlone()
-	f.calls = append(f.calls, call)
-	f.owners = append(f.owners, owner)
 	l.running[call.GetAttempt()] = func(reason callerv1.Reason) {
 		box.Deliver(&peerv1.CallResult{
 			Attempt: call.GetAttempt(), Snapshot: call.GetSnapshot(), Shard: call.GetShard(), Leaf: call.GetLeaf(),
@@ -107,6 +107,22 @@
 	f.free.Broadcast()
 }
 
+// takeOwners returns the owners of all calls since the last take.
+func (f *fleet) takeOwners() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	owners := f.owners
+	f.owners = nil
+	return owners
+}
+
+// slow sets how long a leaf takes for each later call.
+func (f *fleet) slow(hold time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hold = hold
+}
+
 func (f *fleet) crashes() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
