Stop entryd and controld without cutting off a request that has arrived

Change: what fleetd's receiver knew of connections is lib/drainer now, for all three programs; it also knows connections under TLS, and leaves HTTP/2 connections to the server, which tells the other side that it stops. A host that drains ends each HTTP/1 connection with its answer. peeker moves to lib with it.

--- a/controld/server/server.go
+++ b/controld/server/server.go
@@ -19,6 +19,7 @@
 	"lycheelift.example/controld/replica"
 	"lycheelift.example/controld/store"
 	"lycheelift.example/lib/authorizer"
+	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/transporter"
 	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
@@ -29,6 +30,8 @@
 const (
 	// stopTimeout bounds the wait for requests in progress on a graceful stop.
 	stopTimeout = 10 * time.Second
+	// hangUpTimeout is the part of it for the calls of operators.
+	hangUpTimeout = 5 * time.Second
 	// handOverTimeout bounds the wait for another host to take over the lead on a graceful stop.
 	handOverTimeout = 3 * time.Second
 	// maxMessage bounds a message between control hosts, in bytes. A batch or chunk has 1 MiB, and one record may be larger.
@@ -117,6 +120,8 @@
 	if err != nil {
 		return err
 	}
+	calls := drainer.New(clock)
+	operatorListener = calls.Attach(operators, operatorListener)
 	failed := make(chan error, 2)
 	go func() { failed <- security.Serve(operators, operatorListener) }()
 	go func() { failed <- peers.Serve(peerListener) }()
@@ -127,20 +132,22 @@
 	case <-ctx.Done():
 	}
 	eventer.Draining.Log(clock(), "host", s.Name)
-	err = stop(operators, peers, r)
+	err = stop(func(ctx context.Context) error { return calls.Stop(ctx, operators) }, peers, r)
 	eventer.Stopped.Log(clock(), "host", s.Name)
 	return oops.In("server").Wrapf(err, "stop")
 }
 
 // stop passes the lead on, so that the group need not wait for an election, and ends requests in progress.
-func stop(operators *http.Server, peers *grpc.Server, r *replica.Replica) error {
+func stop(hangUp func(context.Context) error, peers *grpc.Server, r *replica.Replica) error {
 	yield, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	// Without a successor the group elects a leader by itself.
 	_ = r.HandOver(yield)
 	ending, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
-	err := operators.Shutdown(ending)
+	hanging, cancel := context.WithTimeout(ending, hangUpTimeout)
+	defer cancel()
+	err := hangUp(hanging)
 	ended := make(chan struct{})
 	go func() {
 		peers.GracefulStop()
--- a/entryd/server/build.go
+++ b/entryd/server/build.go
@@ -23,6 +23,7 @@
 	"lycheelift.example/entryd/syncer"
 	"lycheelift.example/lib/authorizer"
 	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
 	"lycheelift.example/lib/ranker"
@@ -131,7 +132,8 @@
 	mux.Handle(operatorv1connect.NewHostServiceHandler(inspect, allowed, small))
 	mux.Handle("GET /metrics", s.export.Handler)
 	mux.HandleFunc("GET /ready", s.serveReady)
-	s.callers = transporter.Server(authorizer.Handler(mux, s.security.Open()))
+	s.callers = transporter.Server(s.gate.farewell(authorizer.Handler(mux, s.security.Open())))
+	s.conns = drainer.New(s.clock)
 	s.peers = s.security.GRPCServer(grpc.StatsHandler(s.counter))
 	peerv1.RegisterPeerServiceServer(s.peers, peers{
 		peerer.New(s.meter, s.probe, s.sync, s.hold, s.table, s.follow, s.clock), s.isolate,
--- a/entryd/server/drain.go
+++ b/entryd/server/drain.go
@@ -25,6 +25,9 @@
 	handover = 1500 * time.Millisecond
 	// quietTime is the time without a call after which no other host sends any more.
 	quietTime = 500 * time.Millisecond
+	// hangUpTimeout bounds the time in which callers' connections end; a caller that sends on without a pause is told
+	// with each answer that its connection ends.
+	hangUpTimeout = 5 * time.Second
 	// checkInterval is the time between two looks at what still runs.
 	checkInterval = 10 * time.Millisecond
 )
@@ -54,6 +57,16 @@
 	}
 }
 
+// farewell tells callers of a draining host with each answer that their connection ends.
+func (g *gate) farewell(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.closed.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func draining(id string) error {
 	return refuse(connect.CodeUnavailable, &callerv1.Refusal{
 		Id: id, Outcome: callerv1.Outcome_OUTCOME_REFUSED, Reason: callerv1.Reason_REASON_DRAINING, Text: "this host is draining",
@@ -100,7 +113,7 @@
 	if s.background != nil {
 		s.background()
 	}
-	err := s.callers.Shutdown(ctx)
+	err := s.hangUp(ctx)
 	s.ship.Close(ctx)
 	s.dispatch.Close()
 	s.execute.Close()
@@ -116,6 +129,13 @@
 	return nil
 }
 
+// hangUp closes the connections of callers, none of them on which a request has arrived.
+func (s *Server) hangUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, hangUpTimeout)
+	defer cancel()
+	return s.conns.Stop(ctx, s.callers)
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/entryd/server/server.go
+++ b/entryd/server/server.go
@@ -21,6 +21,7 @@
 	"lycheelift.example/entryd/submitter"
 	"lycheelift.example/entryd/syncer"
 	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
 	"lycheelift.example/lib/recorder"
@@ -54,6 +55,7 @@
 	buffer     *recorder.Buffer
 	counter    *peerer.Counter
 	callers    *http.Server
+	conns      *drainer.Drainer
 	peers      *grpc.Server
 	background context.CancelFunc
 }
@@ -86,6 +88,7 @@
 	if err != nil {
 		return err
 	}
+	callers = s.conns.Attach(s.callers, callers)
 	peers, err := transporter.Listen(ctx, s.settings.Listen.Peers)
 	if err != nil {
 		return err
--- a/fleetd/exchanger/pool.go
+++ b/fleetd/exchanger/pool.go
@@ -8,8 +8,8 @@
 	"net/netip"
 	"time"
 
-	"lycheelift.example/fleetd/peeker"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/peeker"
 )
 
 // link is one connection.
--- a/fleetd/receiver/receiver.go
+++ b/fleetd/receiver/receiver.go
@@ -9,13 +9,12 @@
 	stdlog "log"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
 
-	"lycheelift.example/fleetd/peeker"
+	"lycheelift.example/lib/drainer"
 )
 
 const (
@@ -30,9 +29,6 @@
 	noticeTime = 3200 * time.Millisecond
 	// drainInterval is the time between two looks at the connections of a stopping host.
 	drainInterval = 20 * time.Millisecond
-	// quietTime is how long a stopping host keeps a connection without a request, and its address after the newest
-	// connection.
-	quietTime = 100 * time.Millisecond
 	// closeTime is left at the end of the grace time.
 	closeTime = 700 * time.Millisecond
 )
@@ -42,27 +38,15 @@
 	idle  func() time.Duration
 	grace time.Duration
 	clock func() time.Time
-	// quiet reports whether a connection without a request holds no byte of the next one.
-	quiet    func(net.Conn) bool
+	// conns knows the connections of callers.
+	conns    *drainer.Drainer
 	notice   time.Duration
 	stopping atomic.Bool
-
-	mu sync.Mutex
-	// rest holds since when each connection has been without a request, and open the number of all connections.
-	rest map[net.Conn]time.Time
-	open int
-	// opened is when the newest connection was accepted.
-	opened time.Time
 }
 
 // Option changes a receiver.
 type Option func(*Receiver)
 
-// WithQuiet sets how a connection is looked at before it is closed.
-func WithQuiet(quiet func(net.Conn) bool) Option {
-	return func(r *Receiver) { r.quiet = quiet }
-}
-
 // WithNotice sets how long a stopping host goes on to take connections before it closes those without a request.
 func WithNotice(notice time.Duration) Option {
 	return func(r *Receiver) { r.notice = notice }
@@ -72,7 +56,8 @@
 // time in which it must stop.
 func New(idle func() time.Duration, grace time.Duration, clock func() time.Time, options ...Option) *Receiver {
 	r := &Receiver{
-		idle: idle, grace: grace, clock: clock, quiet: peeker.Quiet, notice: min(noticeTime, grace/2), rest: make(map[net.Conn]time.Time), //nolint:mnd // The other half is for the requests.
+		idle: idle, grace: grace, clock: clock, conns: drainer.New(clock),
+		notice: min(noticeTime, grace/2), //nolint:mnd // The other half is for the requests.
 	}
 	for _, o := range options {
 		o(r)
@@ -92,11 +77,12 @@
 		return oops.In("receiver").Wrapf(err, "listen on %s", address)
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnState: r.track,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
 		ErrorLog: stdlog.New(io.Discard, "", 0), // It reports what callers send; the handler logs what matters.
 	}
+	listener = r.conns.Attach(server, listener)
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(watched{listener}) }()
+	go func() { failed <- server.Serve(listener) }()
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	for {
@@ -132,52 +118,12 @@
 // drained closes connections without a request once the load balancer has noticed the stop, and reports whether no
 // connection is left and none has come for a while.
 func (r *Receiver) drained(began, now time.Time) bool {
-	if now.Sub(began) < r.notice {
-		return false
-	}
-	r.close(now, quietTime)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.open == 0 && now.Sub(r.opened) >= quietTime
-}
-
-// track notes which connections are without a request.
-func (r *Receiver) track(conn net.Conn, state http.ConnState) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		r.open++
-		r.opened = r.clock()
-	case http.StateIdle:
-		if w, ok := conn.(*watchedConn); ok {
-			w.read.Store(false)
-		}
-		r.rest[conn] = r.clock()
-		return
-	case http.StateClosed, http.StateHijacked:
-		r.open--
-	case http.StateActive:
-	}
-	delete(r.rest, conn)
+	return now.Sub(began) >= r.notice && r.conns.Drain(now)
 }
 
 // sweep closes connections that have been without a request for too long.
 func (r *Receiver) sweep(now time.Time) {
 	if most := r.idle(); most > 0 {
-		r.close(now, most)
-	}
-}
-
-// close closes connections that have been without a request for longer than a time. One on which a request has begun to
-// arrive is left open, whether this process has read some of it or not.
-func (r *Receiver) close(now time.Time, most time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for conn, since := range r.rest {
-		if now.Sub(since) > most && !hasRead(conn) && r.quiet(conn) {
-			_ = conn.Close()
-			delete(r.rest, conn)
-		}
+		r.conns.Close(now, most)
 	}
 }
--- a/fleetd/receiver/receiver_test.go
+++ b/fleetd/receiver/receiver_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/lib/drainer"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -27,7 +29,9 @@
 // stopping returns a receiver and the way to set its time.
 func stopping(idle time.Duration) (*Receiver, *time.Time) {
 	now := start
-	r := New(func() time.Duration { return idle }, 8*time.Second, func() time.Time { return now }, WithQuiet(func(c net.Conn) bool {
+	clock := func() time.Time { return now }
+	r := New(func() time.Duration { return idle }, 8*time.Second, clock)
+	r.conns = drainer.New(clock, drainer.WithQuiet(func(c net.Conn) bool {
 		s, ok := c.(*silent)
 		return !ok || !s.pending
 	}))
@@ -40,59 +44,43 @@
 	r, now := stopping(0)
 	idle, arrived, fresh := &silent{}, &silent{}, &silent{}
 	for _, c := range []*silent{idle, arrived, fresh} {
-		r.track(c, http.StateNew)
-		r.track(c, http.StateActive)
+		r.conns.Track(c, http.StateNew)
+		r.conns.Track(c, http.StateActive)
 	}
-	r.track(idle, http.StateIdle)
-	r.track(arrived, http.StateIdle)
+	r.conns.Track(idle, http.StateIdle)
+	r.conns.Track(arrived, http.StateIdle)
 	*now = start.Add(noticeTime - time.Millisecond)
 	qt.Assert(t, r.drained(start, *now), qt.IsFalse)
 	qt.Assert(t, idle.closed, qt.IsFalse) // The load balancer has not noticed yet.
-	r.track(fresh, http.StateIdle)
+	r.conns.Track(fresh, http.StateIdle)
 	arrived.pending = true
 	*now = start.Add(noticeTime)
 	qt.Assert(t, r.drained(start, *now), qt.IsFalse)
 	qt.Assert(t, idle.closed, qt.IsTrue)
 	qt.Assert(t, arrived.closed, qt.IsFalse)
 	qt.Assert(t, fresh.closed, qt.IsFalse) // Its caller has just got an answer and may send on.
-	r.track(idle, http.StateClosed)
+	r.conns.Track(idle, http.StateClosed)
 
 	// The request is read, answered, and the connection is closed by its answer.
-	r.track(arrived, http.StateActive)
-	r.track(arrived, http.StateClosed)
-	*now = now.Add(quietTime + time.Millisecond)
+	r.conns.Track(arrived, http.StateActive)
+	r.conns.Track(arrived, http.StateClosed)
+	*now = now.Add(101 * time.Millisecond) // Longer than a connection is kept without a request.
 	qt.Assert(t, r.drained(start, *now), qt.IsFalse)
 	qt.Assert(t, fresh.closed, qt.IsTrue)
-	r.track(fresh, http.StateClosed)
+	r.conns.Track(fresh, http.StateClosed)
 	qt.Assert(t, r.drained(start, *now), qt.IsTrue)
 }
 
-// Guards against a connection that is closed while the head of its next request is read, during which the HTTP server
-// still calls it idle.
-func TestStopKeepsConnectionsWhoseRequestIsRead(t *testing.T) {
-	r, now := stopping(time.Second)
-	conn := &watchedConn{}
-	r.track(conn, http.StateNew)
-	r.track(conn, http.StateIdle)
-	conn.read.Store(true)
-	*now = start.Add(time.Minute)
-	r.sweep(*now)
-	qt.Assert(t, len(r.rest), qt.Equals, 1)
-	r.track(conn, http.StateActive)
-	r.track(conn, http.StateIdle)
-	qt.Assert(t, conn.read.Load(), qt.IsFalse)
-}
-
 // Guards against a stopping host that leaves while connections still come.
 func TestStopWaitsForTheNewestConnection(t *testing.T) {
 	r, now := stopping(0)
 	conn := &silent{}
 	*now = start.Add(noticeTime + time.Second)
-	r.track(conn, http.StateNew)
+	r.conns.Track(conn, http.StateNew)
 	qt.Assert(t, r.drained(start, *now), qt.IsFalse)
-	r.track(conn, http.StateClosed)
+	r.conns.Track(conn, http.StateClosed)
 	qt.Assert(t, r.drained(start, *now), qt.IsFalse)
-	*now = now.Add(quietTime)
+	*now = now.Add(100 * time.Millisecond)
 	qt.Assert(t, r.drained(start, *now), qt.IsTrue)
 }
 
@@ -101,8 +89,8 @@
 	r, now := stopping(time.Second)
 	idle, arrived := &silent{}, &silent{pending: true}
 	for _, c := range []*silent{idle, arrived} {
-		r.track(c, http.StateNew)
-		r.track(c, http.StateIdle)
+		r.conns.Track(c, http.StateNew)
+		r.conns.Track(c, http.StateIdle)
 	}
 	*now = start.Add(time.Second)
 	r.sweep(*now)
--- a/fleetd/peeker/peeker_test.go
+++ b/lib/peeker/peeker_test.go
@@ -6,7 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"lycheelift.example/fleetd/peeker"
+	"lycheelift.example/lib/peeker"
 )
 
 // pair returns both ends of a connection.
