Take the loss of control hosts for no cut of the own data centre while others answer

Besides, it never applied where a data centre has two control hosts, which hear each other. Change: a control host is alone when it hears nothing of other data centres: no control host, and no leaf or entry host that turns to it, as they do when their own control host is lost. An entry host believes it only when no leaf and no host elsewhere has answered since. It is back as soon as one does. Event 3023 states the evidence.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -45,8 +45,11 @@
 	retryWait = 100 * time.Millisecond
 	// gaugeInterval is the least time between two looks whether this host is cut off.
 	gaugeInterval = 100 * time.Millisecond
-	// aloneTime is how long this host's control host must have heard none of the others.
+	// aloneTime is how long this host's control host must have said that it hears nothing of other data centres.
 	aloneTime = 300 * time.Millisecond
+	// answerMargin is taken off the time at which it said so first. It had heard nothing for a second then, and hears
+	// something each 400 ms otherwise: an answer that came later than the margin shows that there is no cut.
+	answerMargin = 400 * time.Millisecond
 	// startWait is the wait that a caller is told while this host knows too little: after the loss of all hosts the
 	// control hosts need about a second.
 	startWait = 500 * time.Millisecond
@@ -125,24 +128,50 @@
 		return a.cut.Load()
 	}
 	view := a.viewer.View()
-	evidence := gauger.Evidence{Stale: view.Age(now), Alone: view.IsAlone(aloneTime, now)}
-	evidence.Short = evidence.Alone && a.short(view)
-	for _, leaves := range view.Holders {
-		reached, lost := a.selector.Reach(leaves, a.center, now)
-		evidence.Reached += reached
-		evidence.Lost += lost
-	}
+	evidence := a.evidence(view, now)
 	cut := a.gauge.CutOff(evidence, now)
 	if a.cut.Swap(cut) != cut {
 		event := eventer.HostBack
 		if cut {
 			event = eventer.HostCutOff
 		}
-		event.Log(now, "host", a.host, "stale", evidence.Stale, "reached", evidence.Reached, "lost", evidence.Lost)
+		event.Log(now, "host", a.host, "stale", evidence.Stale, "reached", evidence.Reached, "lost", evidence.Lost,
+			"alone", evidence.Alone, "short", evidence.Short, "answered", evidence.Answered)
 	}
 	return cut
 }
 
+// evidence returns what this host knows of its surroundings.
+func (a *Answerer) evidence(view *follower.View, now time.Time) gauger.Evidence {
+	var reach selector.Reach
+	for _, leaves := range view.Holders {
+		a.selector.Note(&reach, leaves, a.center, now)
+	}
+	out := gauger.Evidence{Stale: view.Age(now), Reached: reach.Reached, Lost: reach.Lost, Alone: view.IsAlone(aloneTime, now)}
+	if out.Alone {
+		out.Short = a.short(view)
+		out.Answered = a.heardElsewhere(view, reach.Answered).After(view.Alone.Add(-answerMargin))
+	}
+	return out
+}
+
+// heardElsewhere returns when a leaf or an entry host of another data centre last answered.
+func (a *Answerer) heardElsewhere(view *follower.View, leaf time.Time) time.Time {
+	if a.divider == nil {
+		return leaf
+	}
+	latest := leaf
+	for center, hosts := range view.Helpers {
+		if center == a.center {
+			continue
+		}
+		if at := a.divider.Heard(hosts); at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
 // short reports whether the leaves of the own data centre do not suffice for some route.
 func (a *Answerer) short(view *follower.View) bool {
 	if view.Table == nil {
--- a/fleetd/gauger/gauger.go
+++ b/fleetd/gauger/gauger.go
@@ -27,9 +27,11 @@
 	Stale time.Duration
 	// Reached and Lost count the leaves of other data centres that can and cannot be reached.
 	Reached, Lost int
-	// Alone is true when the control host that is followed hears none of the others, and Short when the leaves of the own
-	// data centre do not suffice for every route.
+	// Alone is true when the control host that is followed hears nothing of other data centres, and Short when the leaves
+	// of the own one do not suffice for every route.
 	Alone, Short bool
+	// Answered is true when a leaf or a host of another data centre has answered since the control host last heard of one.
+	Answered bool
 }
 
 // alone reports whether hardly any leaf of another data centre can be reached.
@@ -74,9 +76,9 @@
 
 // CutOff reports whether the host is cut off: out of contact with control and with the leaves of other data centres,
 // and unable to answer a part of its requests. That shows in requests that have failed; or, before a host of many has had
-// two of them, in its control host hearing none of the others, which all hosts of a data centre learn at once. Once cut off it stays so until it is in contact again, because no
-// requests come that could show anything. Trouble of control or of leaves alone must not turn the callers of all hosts
-// away.
+// two of them, in its control host hearing nothing of other data centres, which all hosts of a data centre learn at once.
+// A host whose requests have failed stays cut off until it is in contact again, because no requests come that could show
+// anything. Trouble of control or of leaves alone must not turn the callers of all hosts away.
 func (g *Gauger) CutOff(e Evidence, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -84,8 +86,7 @@
 		g.cut = false
 		return false
 	}
-	if e.Alone && e.Short {
-		g.cut = true
+	if e.Alone && e.Short && !e.Answered {
 		return true
 	}
 	requests, failed := 0, 0
--- a/fleetd/gauger/gauger_test.go
+++ b/fleetd/gauger/gauger_test.go
@@ -67,3 +67,18 @@
 		qt.Check(t, gauger.New().CutOff(e, start), qt.IsFalse, qt.Commentf(name))
 	}
 }
+
+// Load: all control hosts but one lose power, which then hears none of the others, while leaves and hosts of other data
+// centres answer (own day "stores", seed 103: 230 requests refused). Guards against entry hosts everywhere that take the
+// loss of control for a cut of their own data centre and turn their callers away.
+func TestLossOfControlIsNoCutWhileOthersAnswer(t *testing.T) {
+	lost := gauger.Evidence{Stale: time.Second, Alone: true, Short: true, Answered: true}
+	qt.Assert(t, gauger.New().CutOff(lost, start), qt.IsFalse)
+
+	// A host that took itself for cut off is back as soon as something elsewhere answers.
+	g := gauger.New()
+	lost.Answered = false
+	qt.Assert(t, g.CutOff(lost, start), qt.IsTrue)
+	lost.Answered = true
+	qt.Assert(t, g.CutOff(lost, start), qt.IsFalse)
+}
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -54,6 +54,7 @@
 func (s *Service) Follow(request *peerv1.FollowRequest, out peerv1.FollowService_FollowServer) error {
 	k := s.keeper
 	eventer.FollowerJoined.Log(k.clock(), "host", request.GetHost(), "center", request.GetCenter(), "control", request.GetControl(), "version", request.GetVersion())
+	k.hear(request.GetCenter(), k.clock())
 	k.count(request, 1)
 	defer func() {
 		k.count(request, -1)
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -58,6 +58,8 @@
 	// heard when it was made.
 	list  []*peerv1.EntryHost
 	heard []string
+	// elsewhere is when a leaf or an entry host of another data centre last turned to this host.
+	elsewhere time.Time
 	// control is where this host serves leaves and operators, and peer where it serves other hosts.
 	control netip.AddrPort
 	peer    string
@@ -114,6 +116,7 @@
 // Heartbeat takes a leaf's statement on itself. It returns the address for later heartbeats, invalid when any will do.
 func (k *Keeper) Heartbeat(ctx context.Context, l *enroller.Leaf) (netip.AddrPort, error) {
 	now := k.clock()
+	k.hear(l.Center, now)
 	if l.Leaving {
 		k.roster.Put(l, now)
 		return netip.AddrPort{}, k.Leave(ctx, l.Name, l.Born)
--- a/fleetd/keeper/peers.go
+++ b/fleetd/keeper/peers.go
@@ -97,20 +97,37 @@
 	}
 }
 
-// aloneTime is the time without a message of any other control host after which this one is alone. They send one at
+// aloneTime is the time without a sign of another data centre after which this host is alone. Control hosts send one at
 // least each linker.Interval.
 const aloneTime = time.Second
 
-// alone reports whether this host hears none of the other control hosts, of which it has heard before.
+// alone reports whether this host hears nothing of other data centres, of which it has heard control hosts before: no
+// control host, and neither a leaf nor an entry host that turns to this one. When the control hosts elsewhere are lost,
+// those do within a second or two.
 func (k *Keeper) alone(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	known := false
 	for _, o := range k.others {
+		if o.center == k.center {
+			continue
+		}
+		known = true
 		if now.Sub(o.heard) < aloneTime {
 			return false
 		}
 	}
-	return len(k.others) > 0
+	return known && now.Sub(k.elsewhere) >= aloneTime
+}
+
+// hear notes that a leaf or an entry host of a data centre turns to this host.
+func (k *Keeper) hear(center string, now time.Time) {
+	if center == k.center {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.elsewhere = now
 }
 
 // unheard notes that a control host cannot be heard: the entry hosts that follow it may be out of reach too. They are
--- a/lib/divider/divider.go
+++ b/lib/divider/divider.go
@@ -112,6 +112,19 @@
 	r.at = now
 }
 
+// Heard returns when one of some hosts last answered, or the zero time.
+func (t *Table) Heard(hosts []string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out time.Time
+	for _, h := range hosts {
+		if r, ok := t.hosts[h]; ok && r.at.After(out) {
+			out = r.at
+		}
+	}
+	return out
+}
+
 // End notes that a host is no longer awaited. Lost says that it gave no answer though it had the time.
 func (t *Table) End(host string, lost bool, now time.Time) {
 	t.mu.Lock()
--- a/lib/divider/divider_test.go
+++ b/lib/divider/divider_test.go
@@ -254,3 +254,13 @@
 	table.Duties([]string{"key"}, start.Add(window+time.Second))
 	qt.Assert(t, table.OnDuty("key", window, start.Add(window+time.Second)), qt.IsFalse)
 }
+
+// Guards against a host that takes itself for cut off while hosts elsewhere answer it.
+func TestHeardIsTheLatestAnswer(t *testing.T) {
+	table := divider.New("self", gatherers)
+	table.Answered("b1", time.Millisecond, start)
+	table.Answered("b2", time.Millisecond, start.Add(time.Second))
+	table.Answered("c1", time.Millisecond, start.Add(time.Minute))
+	qt.Assert(t, table.Heard([]string{"b1", "b2", "b3"}), qt.Equals, start.Add(time.Second))
+	qt.Assert(t, table.Heard(nil).IsZero(), qt.IsTrue)
+}
