Probe the connections to other hosts each second, so that those of a host that lost power end before they are used

The more hosts, the longer until each pair has met. Change: keep-alive probes after 1 s without a byte, each second, at most two. A machine that is back resets a connection at the first probe; one that stays away loses it after 3 s.

--- a/fleetd/linker/linker.go
+++ b/fleetd/linker/linker.go
@@ -63,10 +63,15 @@
 	return grpc.KeepaliveParams(keepalive.ServerParameters{Time: watchInterval, Timeout: watchTimeout})
 }
 
+// probes ends a connection whose other side has lost power or its memory of the connection, before it is used again: a
+// host that is back answers the first probe with a reset. What is sent on such a connection is lost, and it is not known
+// whether it was taken.
+var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // open opens a connection. A host without power answers nothing, and the first packet would be sent again only after a
 // second.
 func open(ctx context.Context, address string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: openTimeout}).DialContext(ctx, "tcp", address)
+	return (&net.Dialer{Timeout: openTimeout, KeepAliveConfig: probes}).DialContext(ctx, "tcp", address)
 }
 
 // Follow opens a stream to a control host and gives each message to receive, until the stream ends, goes silent or
@@ -103,6 +108,18 @@
 	}
 }
 
+// Report tells a control host of a request that may end the leaves that run it.
+func Report(ctx context.Context, address string, loss *peerv1.Loss) error {
+	dial, _ := Options()
+	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
+	if err != nil {
+		return oops.In("linker").Wrapf(err, "connect to %s", address)
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = peerv1.NewFollowServiceClient(conn).ReportLosses(ctx, &peerv1.ReportLossesRequest{Losses: []*peerv1.Loss{loss}})
+	return oops.In("linker").Wrapf(err, "report to %s", address)
+}
+
 // cause prefers the reason for which the stream was given up to the error that follows from it.
 func cause(ctx context.Context, err error) error {
 	if reason := context.Cause(ctx); reason != nil {
