Offer a call that waits for a connection to a second leaf without budget

Change: when a call is older than the trigger, has not been sent, and there is no budget for a hedge, a second leaf is called with the same permission to be sent: the first of the two that is connected takes it, the other is given up and keeps its connection. One leaf gets the request, so that neither attempts nor extra calls are spent, and a request that may run once may take part. Tried first: closing the first call.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -74,6 +74,11 @@
 			running.out.Hold = scarceHold
 		}
 	}
+	running.turn = &carrier.Turn{}
+	if rival, ok := q.running[c.Rival]; ok {
+		running.turn = rival.turn
+	}
+	running.out.Gate.Join(running.turn)
 	results := q.results
 	go func() {
 		answer, err := a.caller.Do(ctx, running.out)
@@ -209,6 +214,8 @@
 func judgeError(err error) verdict {
 	v := verdict{reason: reasonLost, end: selector.Erred, text: err.Error()}
 	switch {
+	case errors.Is(err, exchanger.ErrGivenUp):
+		v.unsent, v.end = true, selector.Unsent // The call with which it shared its turn was sent.
 	case errors.Is(err, exchanger.ErrBusy):
 		v.reason, v.unsent, v.end = reasonNoReplica, true, selector.Neutral
 	case errors.Is(err, exchanger.ErrUnreachable):
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -63,6 +63,8 @@
 	ticket *selector.Ticket
 	call   planner.Call
 	out    *carrier.Call
+	// turn is shared with the call that may be sent in place of this one.
+	turn *carrier.Turn
 	// harmless is true when it is certain that the leaf has not run the call and never will.
 	harmless bool
 }
--- a/fleetd/answerer/world.go
+++ b/fleetd/answerer/world.go
@@ -122,6 +122,12 @@
 // Hedge spends budget for a second call to a shard.
 func (w *world) Hedge(shard uint32) bool { return w.spend(shard) }
 
+// Unsent reports whether a call waits for a connection.
+func (w *world) Unsent(c planner.Call) bool {
+	running, ok := w.running[c.Attempt]
+	return ok && running.out.Gate.IsOpen()
+}
+
 // Retry spends budget for another call to a shard.
 func (w *world) Retry(shard uint32) bool { return w.spend(shard) }
 
--- a/fleetd/exchanger/exchanger.go
+++ b/fleetd/exchanger/exchanger.go
@@ -116,7 +116,7 @@
 		return nil, err
 	}
 	if !c.Gate.Pass() {
-		e.discard(link)
+		e.release(link, c, &carrier.Answer{}) // Nothing was sent on it.
 		return nil, ErrGivenUp
 	}
 	answer, err := e.exchange(ctx, link, c)
--- a/lib/carrier/gate_test.go
+++ b/lib/carrier/gate_test.go
@@ -23,3 +23,26 @@
 		qt.Assert(t, g.Pass(), qt.IsFalse)
 	}
 }
+
+// Guards against two calls that are both sent though one of them was to be.
+func TestOneCallOfATurnIsSent(t *testing.T) {
+	for range 1000 {
+		var turn carrier.Turn
+		var gates [3]carrier.Gate
+		var passed [3]bool
+		var all sync.WaitGroup
+		for i := range gates {
+			gates[i].Join(&turn)
+			all.Go(func() { passed[i] = gates[i].Pass() })
+		}
+		all.Wait()
+		sent := 0
+		for i := range gates {
+			qt.Assert(t, gates[i].Close(), qt.Equals, !passed[i])
+			if passed[i] {
+				sent++
+			}
+		}
+		qt.Assert(t, sent, qt.Equals, 1)
+	}
+}
--- a/lib/planner/action.go
+++ b/lib/planner/action.go
@@ -70,6 +70,8 @@
 	Sent time.Time
 	// Timeout is the time that the owner has for the call.
 	Timeout time.Duration
+	// Rival is the attempt with which the call shares the permission to be sent; empty for a call by itself.
+	Rival string
 }
 
 // Missing is a shard without an answer.
--- a/lib/planner/hedge.go
+++ b/lib/planner/hedge.go
@@ -20,6 +20,13 @@
 	}
 }
 
+// watched reports whether calls are looked at again after the trigger: a call that must not run twice is not hedged, but
+// as long as it has not been sent another leaf may have it.
+func (p *Planner) watched() bool {
+	_, shares := p.world.(Sharer)
+	return p.mayHedge() || shares && p.trigger > 0 && !p.crashed
+}
+
 // hedgeable reports whether an attempt is the last one of its shard and still runs.
 func (p *Planner) hedgeable(n int) bool {
 	a := &p.attempts[n]
@@ -28,7 +35,25 @@
 		most = maxCanaryHedges
 	}
 	s := &p.shards[a.call.Shard]
-	return p.mayHedge() && n >= p.first && a.state == open && s.last == n && !s.settled && s.hedges < most && p.spare(s)
+	return p.watched() && n >= p.first && a.state == open && s.last == n && !s.settled && s.hedges < most && p.spare(s)
+}
+
+// Sharer is a World in which two calls can share the permission to be sent, so that one of them is at most.
+type Sharer interface {
+	// Unsent reports whether nothing of a call has been sent yet, as while it waits for a connection. It may be sent at
+	// any time after.
+	Unsent(call Call) bool
+}
+
+// share makes a call to another leaf that may be sent in place of an attempt that has not been sent, whichever has a
+// connection first. That needs no budget: one leaf gets the request, as before. It reports whether it did.
+func (p *Planner) share(n int, target Target, now time.Time) bool {
+	a := &p.attempts[n]
+	world, ok := p.world.(Sharer)
+	if !ok || a.call.Rival != "" || !world.Unsent(a.call) {
+		return false
+	}
+	return p.send(a.call.Shard, target, Resend, now, withRival(a.call.Attempt))
 }
 
 // second hedges an attempt. It reports false when there was no budget; without another replica nothing is to be done.
@@ -38,8 +63,8 @@
 	if !ok {
 		return true
 	}
-	if !p.world.Hedge(i) {
-		return false
+	if !p.mayHedge() || !p.world.Hedge(i) {
+		return p.share(n, target, now)
 	}
 	if p.send(i, target, Hedge, now) {
 		p.shards[i].hedges++
--- a/lib/planner/returned.go
+++ b/lib/planner/returned.go
@@ -22,6 +22,8 @@
 	s.open--
 	if r.Unsent {
 		s.unsent++
+	} else {
+		p.dropRival(n)
 	}
 	p.actions = append(p.actions, Action{Kind: Ended, Call: a.call, Result: r})
 	if r.Reason == reasonNone {
@@ -31,6 +33,24 @@
 	p.failed(n, r, now)
 }
 
+// dropRival gives up the call that shares the permission to be sent with an attempt that has been sent. It never will be,
+// and nothing is to wait for it.
+func (p *Planner) dropRival(n int) {
+	call := &p.attempts[n].call
+	s := &p.shards[call.Shard]
+	for m := s.last; m != none; m = p.attempts[m].previous {
+		a := &p.attempts[m]
+		if a.state != open || a.call.Rival != call.Attempt && a.call.Attempt != call.Rival {
+			continue
+		}
+		a.state = cancelled
+		a.reached, a.lost = false, false
+		s.open--
+		s.unsent++
+		p.actions = append(p.actions, Action{Kind: Cancel, Call: a.call})
+	}
+}
+
 // answered keeps a shard's answer and cancels the calls that lost against it.
 func (p *Planner) answered(r Result, now time.Time) {
 	s := &p.shards[r.Shard]
