--- a/fleetd/answerer/divide.go
+++ b/fleetd/answerer/divide.go
@@ -85,7 +85,7 @@
 
 // divides reports whether other hosts are to gather portions of a query over some services.
 func (a *Answerer) divides(view *follower.View, services []string) bool {
-	return a.helper != nil && a.portion > 0 && len(services) >= dividedFactor*a.portion && len(view.Hosts()) > 1
+	return a.helper != nil && a.portion > 0 && len(services) >= dividedFactor*a.portion && view.Helping()
 }
 
 // placed returns the shards that some services hold and the data centres of their leaves.
--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -128,27 +128,31 @@
 
 // leaves takes records of leaves and reports whether any says something new.
 func (f *Follower) leaves(records []*peerv1.RosterLeaf, now time.Time) bool {
-	changed := false
-	for _, m := range records {
-		if m.GetLeaving() {
-			f.departures.Apply(m.GetLeaf(), m.GetBorn(), now)
-			f.roster.Leave(m.GetLeaf(), m.GetBorn(), now)
-			eventer.LeafLeaving.Log(now, "leaf", m.GetLeaf(), "born", m.GetBorn())
-			changed = true
-			continue
-		}
-		if f.departures.Departed(m.GetLeaf(), m.GetBorn()) {
-			continue
-		}
-		l, err := enroller.Decode(m, now)
-		if err != nil {
-			eventer.AnnounceRejected.Log(now, "leaf", m.GetLeaf(), "error", err.Error())
-			continue
-		}
-		if f.roster.Put(l, now) == enroller.Changed {
-			eventer.LeafKnown.Log(now, "leaf", l.Name, "service", l.Service, "address", l.Address.String(), "center", l.Center, "cold", l.ColdUntil.Sub(now))
-			changed = true
-		}
-	}
-	return changed
+	n := &news{departures: f.departures}
+	f.roster.Take(records, n, now)
+	return n.changed
+}
+
+// news logs what records of leaves say, and notes whether it is new.
+type news struct {
+	departures *enroller.Departures
+	changed    bool
+}
+
+// Departed reports whether an incarnation is known to have left.
+func (n *news) Departed(name string, born uint64) bool {
+	return n.departures.Departed(name, born)
+}
+
+// Left notes that an incarnation leaves.
+func (n *news) Left(name string, born uint64, now time.Time) {
+	n.departures.Apply(name, born, now)
+	eventer.LeafLeaving.Log(now, "leaf", name, "born", born)
+	n.changed = true
+}
+
+// Known notes an incarnation that is new or has changed.
+func (n *news) Known(l *enroller.Leaf, now time.Time) {
+	eventer.LeafKnown.Log(now, "leaf", l.Name, "service", l.Service, "address", l.Address.String(), "center", l.Center, "cold", l.ColdUntil.Sub(now))
+	n.changed = true
 }
--- a/fleetd/follower/view.go
+++ b/fleetd/follower/view.go
@@ -56,6 +56,15 @@
 	return out
 }
 
+// Helping reports whether any other entry host is known.
+func (v *View) Helping() bool {
+	count := 0
+	for _, hosts := range v.Helpers {
+		count += len(hosts)
+	}
+	return count > 1
+}
+
 // Version returns the version of the configuration in force, 0 before the first.
 func (v *View) Version() uint64 {
 	if v.Table == nil {
--- a/fleetd/keeper/peers.go
+++ b/fleetd/keeper/peers.go
@@ -141,24 +141,26 @@
 	}
 }
 
+// recorded knows departures by the replicated log. What other control hosts say of leaves is logged where it was heard.
+type recorded struct {
+	store interface {
+		Departed(name string, born uint64) bool
+	}
+}
+
+// Departed reports whether an incarnation is recorded to have left.
+func (r recorded) Departed(name string, born uint64) bool { return r.store.Departed(name, born) }
+
+// Left does nothing.
+func (recorded) Left(string, uint64, time.Time) {}
+
+// Known does nothing.
+func (recorded) Known(*enroller.Leaf, time.Time) {}
+
 // take takes a message of another control host.
 func (k *Keeper) take(address string, m *peerv1.FollowResponse, now time.Time) {
 	k.learn(m.GetLosses(), now)
-	for _, record := range m.GetLeaves() {
-		if record.GetLeaving() {
-			k.roster.Leave(record.GetLeaf(), record.GetBorn(), now)
-			continue
-		}
-		if k.store.Departed(record.GetLeaf(), record.GetBorn()) {
-			continue
-		}
-		l, err := enroller.Decode(record, now)
-		if err != nil {
-			eventer.AnnounceRejected.Log(now, "leaf", record.GetLeaf(), "error", err.Error())
-			continue
-		}
-		k.roster.Put(l, now)
-	}
+	k.roster.Take(m.GetLeaves(), recorded{k.store}, now)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	other := k.others[address]
