End a block of harmful requests at one time on all hosts, whoever hears of it when

Cause: read in review: each host held a block for ten minutes from when it heard of it, so that control hosts which restart in turn would have handed it on for ever; the same with old losses. Change: a block carries its end, as time left on the wire, and losses older than a block are nothing new. Test that fails without it: TestBlockIsNotProlongedByThoseWhoHearOfItLater.

--- a/fleetd/suspector/suspector.go
+++ b/fleetd/suspector/suspector.go
@@ -128,6 +128,9 @@
 // Encode returns the message of a loss.
 func Encode(l quarantiner.Loss, now time.Time) *peerv1.Loss {
 	out := &peerv1.Loss{Fingerprint: l.Fingerprint, Forgiven: l.Forgiven, Blocked: l.Blocked}
+	if l.Blocked {
+		out.Left = durationpb.New(l.Until.Sub(now))
+	}
 	for _, r := range l.Lost {
 		out.Lost = append(out.Lost, &peerv1.LostRequest{Id: r.ID, Began: durationpb.New(now.Sub(r.Began)), Ended: durationpb.New(now.Sub(r.Ended))})
 	}
@@ -137,6 +140,9 @@
 // Decode returns the loss of a message that has just arrived.
 func Decode(m *peerv1.Loss, now time.Time) quarantiner.Loss {
 	out := quarantiner.Loss{Fingerprint: m.GetFingerprint(), Forgiven: m.GetForgiven(), Blocked: m.GetBlocked()}
+	if m.GetBlocked() {
+		out.Until = now.Add(m.GetLeft().AsDuration())
+	}
 	for _, r := range m.GetLost() {
 		out.Lost = append(out.Lost, quarantiner.Lost{ID: r.GetId(), Began: now.Add(-r.GetBegan().AsDuration()), Ended: now.Add(-r.GetEnded().AsDuration())})
 	}
--- a/lib/quarantiner/ledger.go
+++ b/lib/quarantiner/ledger.go
@@ -34,6 +34,8 @@
 	// Forgiven are the identities of those of them after which a request of the fingerprint was answered.
 	Forgiven []string
 	Blocked  bool
+	// Until is when a block ends, by the clock of the host that holds this. Hosts that hear of it later do not prolong it.
+	Until time.Time
 }
 
 // Ledger knows requests that may end the servers that run them, on hosts that run no canaries. A host notes what it sees
@@ -74,7 +76,7 @@
 	if !ok || !e.loss.Blocked {
 		return 0
 	}
-	return max(0, e.expires.Sub(now))
+	return max(0, e.loss.Until.Sub(now))
 }
 
 // Note notes a request that lost its servers without an answer, and returns what is known of its fingerprint.
@@ -113,11 +115,14 @@
 		e = &entry{loss: Loss{Fingerprint: in.Fingerprint}, expires: now.Add(BlockTime)}
 		l.entries[in.Fingerprint] = e
 	}
-	changed := e.loss.merge(in)
-	if changed {
+	changed := e.loss.merge(in, now)
+	switch {
+	case changed:
 		l.revision++
 		e.revision = l.revision
-		e.expires = now.Add(BlockTime)
+		e.expires = e.loss.ends(now)
+	case !ok:
+		delete(l.entries, in.Fingerprint)
 	}
 	l.suspects.Store(int64(len(l.entries)))
 	return e.loss.clone(), changed
@@ -203,33 +208,60 @@
 	return out
 }
 
-// merge adds another host's knowledge and reports whether it was new.
-func (l *Loss) merge(in Loss) bool {
-	lost, forgiven := missing(ids(in.Lost), ids(l.Lost)), missing(in.Forgiven, l.Forgiven)
-	if l.Blocked || in.Blocked {
-		changed := !l.Blocked
-		l.Blocked, l.Lost, l.Forgiven = true, nil, nil
-		return changed
+// ends returns when the fingerprint is to be forgotten.
+func (l *Loss) ends(now time.Time) time.Time {
+	switch {
+	case l.Blocked:
+		return l.Until
+	case len(l.Lost) == 0:
+		return now.Add(BlockTime)
+	}
+	return l.newest().Add(BlockTime)
+}
+
+// newest returns when the last of the lost requests was over.
+func (l *Loss) newest() time.Time {
+	return slices.MaxFunc(l.Lost, func(a, b Lost) int { return a.Ended.Compare(b.Ended) }).Ended
+}
+
+// block refuses the fingerprint until a time.
+func (l *Loss) block(until time.Time) {
+	l.Blocked, l.Until, l.Lost, l.Forgiven = true, until, nil, nil
+}
+
+// merge adds another host's knowledge and reports whether it was new. What is too old by now is nothing new.
+func (l *Loss) merge(in Loss, now time.Time) bool {
+	if l.Blocked {
+		return false
 	}
+	if in.Blocked {
+		if !now.Before(in.Until) {
+			return false
+		}
+		l.block(in.Until)
+		return true
+	}
+	in.Lost = slices.DeleteFunc(slices.Clone(in.Lost), func(r Lost) bool { return now.Sub(r.Ended) >= BlockTime })
+	lost, forgiven := missing(ids(in.Lost), ids(l.Lost)), missing(in.Forgiven, l.Forgiven)
 	if len(lost)+len(forgiven) == 0 {
 		return false
 	}
-	l.Forgiven = newest(append(l.Forgiven, forgiven...))
+	l.Forgiven = latest(append(l.Forgiven, forgiven...))
 	for _, r := range in.Lost {
 		if i := slices.Index(lost, r.ID); i >= 0 {
 			lost = slices.Delete(lost, i, i+1)
 			l.Lost = append(l.Lost, r)
 		}
 	}
-	l.Lost = newest(l.Lost)
+	l.Lost = latest(l.Lost)
 	if l.inTurn() >= lostLimit {
-		l.Blocked, l.Lost, l.Forgiven = true, nil, nil
+		l.block(l.newest().Add(BlockTime))
 	}
 	return true
 }
 
-// newest drops what was added first when there is too much.
-func newest[T any](list []T) []T {
+// latest drops what was added first when there is too much.
+func latest[T any](list []T) []T {
 	if len(list) > maxRequests {
 		return slices.Clone(list[len(list)-maxRequests:])
 	}
@@ -237,5 +269,5 @@
 }
 
 func (l *Loss) clone() Loss {
-	return Loss{Fingerprint: l.Fingerprint, Lost: slices.Clone(l.Lost), Forgiven: slices.Clone(l.Forgiven), Blocked: l.Blocked}
+	return Loss{Fingerprint: l.Fingerprint, Lost: slices.Clone(l.Lost), Forgiven: slices.Clone(l.Forgiven), Blocked: l.Blocked, Until: l.Until}
 }
--- a/lib/quarantiner/ledger_test.go
+++ b/lib/quarantiner/ledger_test.go
@@ -122,6 +122,33 @@
 	})
 }
 
+// Load: control hosts restart in turn and learn of a block from each other. Guards against a block that each of them holds
+// for as long again from when it heard of it, and so never ends, and against old losses that count again.
+func TestBlockIsNotProlongedByThoseWhoHearOfItLater(t *testing.T) {
+	first := quarantiner.NewLedger()
+	for i := range 3 {
+		note(first, 7, fmt.Sprint(i), i)
+	}
+	note(first, 8, "a", 0)
+	held := first
+	for minute := range 30 {
+		at := now.Add(time.Duration(minute) * time.Minute)
+		next := quarantiner.NewLedger()
+		losses, _ := held.Since(0, at)
+		for _, loss := range losses {
+			next.Merge(loss, at)
+		}
+		qt.Assert(t, next.Blocked(7, at) > 0, qt.Equals, at.Before(now.Add(quarantiner.BlockTime+2*time.Second)), qt.Commentf("minute %d", minute))
+		held = next
+	}
+	stale := quarantiner.NewLedger()
+	late := now.Add(quarantiner.BlockTime + time.Hour)
+	stale.Merge(quarantiner.Loss{Fingerprint: 8, Lost: []quarantiner.Lost{lost("a", 0, 1), lost("b", 2, 3), lost("c", 4, 5)}}, late)
+	stale.Merge(quarantiner.Loss{Fingerprint: 9, Blocked: true, Until: now}, late)
+	qt.Assert(t, stale.Blocked(8, late), qt.Equals, time.Duration(0))
+	qt.Assert(t, stale.Blocked(9, late), qt.Equals, time.Duration(0))
+}
+
 // Guards against followers that are told nothing of a change, or of everything at each message.
 func TestSinceTellsEachChangeOnce(t *testing.T) {
 	l := quarantiner.NewLedger()
