Pass on heartbeats that other control hosts sent each 15 s in place of 5

Cause: CAPACITY: what control hosts send grows with the hosts to the power 1.3, among it each leaf's refresh, which every control host passes on to all others every 5 s although all have it from the first. Change: a refresh that came from another control host is passed on each 15 s, for hosts that can reach each other only by way of a third; changes are passed on at once as before. Test that fails without it: TestRefreshesOfOthersArePassedOnSeldom.

--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -18,6 +18,9 @@
 	// Refresh is the time after which a record that did not change is passed on, so that other control hosts know
 	// that its leaf is still heard.
 	Refresh = 5 * time.Second
+	// Relay is the same for a record that came from another control host. All follow each other, so that it is needed
+	// only where two of them cannot; it leaves them the time Silence.
+	Relay = 15 * time.Second
 	// tombTime is how long the record of a leaf that has left is kept for followers that do not know it yet.
 	tombTime = 2 * time.Minute
 )
@@ -79,15 +82,20 @@
 	return &Roster{leaves: make(map[string]*entry), places: make(map[netip.AddrPort]string), changed: make(chan struct{})}
 }
 
-// Put takes a record of a leaf, from the leaf itself or from another control host.
+// Put takes a record from the leaf itself.
 func (r *Roster) Put(l *Leaf, now time.Time) Verdict {
+	return r.take(l, Refresh, now)
+}
+
+// take takes a record. One that says nothing new is passed on again after a time.
+func (r *Roster) take(l *Leaf, again time.Duration, now time.Time) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.leaves[l.Name]
 	if old != nil {
 		if verdict := compare(l, old.leaf, now); verdict != Changed {
 			if verdict == Same {
-				r.hear(old, l, now)
+				r.hear(old, l, again, now)
 			}
 			return verdict
 		}
@@ -170,9 +178,9 @@
 }
 
 // hear notes a heartbeat that says nothing new. Other control hosts are told now and then.
-func (r *Roster) hear(e *entry, l *Leaf, now time.Time) {
+func (r *Roster) hear(e *entry, l *Leaf, again time.Duration, now time.Time) {
 	e.leaf, e.heard = l, now
-	if now.Sub(e.passed) < Refresh {
+	if now.Sub(e.passed) < again {
 		return
 	}
 	e.passed = now
--- a/lib/enroller/enroller_test.go
+++ b/lib/enroller/enroller_test.go
@@ -9,6 +9,7 @@
 
 	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/journaler"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
@@ -146,3 +147,43 @@
 	other.Apply("y", 1, start.Add(time.Hour))
 	qt.Assert(t, other.Departed("x", 10), qt.IsFalse)
 }
+
+// never knows no departures and counts nothing.
+type never struct{}
+
+func (never) Departed(string, uint64) bool    { return false }
+func (never) Left(string, uint64, time.Time)  {}
+func (never) Known(*enroller.Leaf, time.Time) {}
+
+// Load: hundreds of leaves and several control hosts, all of which follow each other; then two of them can reach only a
+// third. Guards against each control host passing on every heartbeat that the others have heard too, and against a leaf that
+// is dropped where its heartbeats come by way of a third host.
+func TestRefreshesOfOthersArePassedOnSeldom(t *testing.T) {
+	near, middle, far := enroller.New(), enroller.New(), enroller.New()
+	var toMiddle, toFar uint64
+	sent, relayed := 0, 0
+	pass := func(from, to *enroller.Roster, revision uint64, now time.Time) (uint64, int) {
+		batch := from.Since(revision, true)
+		var records []*peerv1.RosterLeaf
+		for _, l := range batch.Leaves {
+			records = append(records, enroller.Encode(l, now))
+		}
+		to.Take(records, never{}, now)
+		return batch.Revision, len(records)
+	}
+	for second := range uint64(120) {
+		now := start.Add(time.Duration(second) * time.Second)
+		near.Put(leaf("x", 10, second+1, "10.0.0.1:80"), now)
+		var n int
+		toMiddle, n = pass(near, middle, toMiddle, now)
+		sent += n
+		toFar, n = pass(middle, far, toFar, now)
+		relayed += n
+		for _, r := range []*enroller.Roster{near, middle, far} {
+			qt.Assert(t, r.Expire(now), qt.HasLen, 0)
+			known(t, r, "x")
+		}
+	}
+	qt.Assert(t, sent >= 20 && sent <= 24, qt.IsTrue, qt.Commentf("%d", sent)) // One each 5 s.
+	qt.Assert(t, relayed <= sent/2, qt.IsTrue, qt.Commentf("%d of %d", relayed, sent))
+}
--- a/lib/enroller/take.go
+++ b/lib/enroller/take.go
@@ -32,7 +32,7 @@
 			eventer.AnnounceRejected.Log(now, "leaf", m.GetLeaf(), "error", err.Error())
 			continue
 		}
-		if r.Put(l, now) == Changed {
+		if r.take(l, Relay, now) == Changed {
 			to.Known(l, now)
 		}
 	}
