Stop a soak whose program does not start without a crash

Change: a host's process is set once it has started. Test that fails before: TestStageStopsWithoutItsProgram.

--- a/soaker/stager/stager.go
+++ b/soaker/stager/stager.go
@@ -112,11 +112,12 @@
 		return oops.In("stager").Wrap(err)
 	}
 	defer func() { _ = log.Close() }()
-	h.process = exec.CommandContext(context.Background(), h.binary, h.role, "--settings", h.settings()) //nolint:gosec // The program under test.
-	h.process.Stdout, h.process.Stderr = log, log
-	if err := h.process.Start(); err != nil {
+	process := exec.CommandContext(context.Background(), h.binary, h.role, "--settings", h.settings()) //nolint:gosec // The program under test.
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
 		return oops.In("stager").Wrapf(err, "start %s", h.Name)
 	}
+	h.process = process
 	ended := make(chan struct{})
 	h.ended = ended
 	go func(p *exec.Cmd) {
