--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -292,3 +292,68 @@
 	}
 	return broken, nil
 }
+
+// coldBound is the number of requests that a cold leaf may get in one second from all entry hosts together: coldPerS times
+// coldOvershoot plus coldSlack.
+const coldBound = coldPerS*1.5 + 5
+
+// coldLeaf: a leaf becomes cold while clients press.
+func coldLeaf(s *system, trouble bool) (bool, error) {
+	var mu sync.Mutex
+	var times []time.Time
+	var coldUntil time.Time
+	note := func(_ *leaf, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Now().Before(coldUntil) {
+			times = append(times, time.Now())
+		}
+	}
+	only, err := s.addLeaf(serviceName, 0, 0, crashNever, note)
+	if err != nil {
+		return false, err
+	}
+	if err := begin(s, 0, crashNever, note); err != nil {
+		return false, err
+	}
+	end := time.Now().Add(coldStart)
+	if trouble {
+		only.mu.Lock()
+		only.coldUntil = end
+		only.mu.Unlock()
+		if !only.sendHeartbeat(0) {
+			return false, errors.New("the heartbeat was not acknowledged")
+		}
+		s.add("leaf %s says that it is cold for %s", only.name, coldStart)
+		time.Sleep(4 * pollInterval)
+		mu.Lock()
+		coldUntil = end
+		mu.Unlock()
+	}
+	var clients sync.WaitGroup
+	for _, e := range s.entries {
+		for range 2 {
+			clients.Go(func() {
+				for time.Now().Before(end) {
+					s.ask(e, firstPrefix+"1", deadline)
+					time.Sleep(pollInterval / 5)
+				}
+			})
+		}
+	}
+	clients.Wait()
+	most := 0
+	mu.Lock()
+	defer mu.Unlock()
+	for i, from := range times {
+		n := 0
+		for _, at := range times[i:] {
+			if at.Sub(from) < time.Second {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	s.add("the cold leaf got %d requests in one second at most; allowed %.0f", most, coldBound)
+	return float64(most) > coldBound, nil
+}
--- a/review/standin/leaf.go
+++ b/review/standin/leaf.go
@@ -41,6 +41,7 @@
 	down      bool
 	server    *http.Server
 	stopped   chan struct{}
+	coldUntil time.Time
 	onArrival func(l *leaf, r *http.Request)
 }
 
@@ -148,6 +149,7 @@
 	version := "v1"
 	body := heartbeat{
 		Service: l.service, Address: l.address, Zone: l.zone, Version: &version, Slots: 4, State: l.state, Seq: l.seq, Born: l.born,
+		ColdLeftMs: int(max(0, time.Until(l.coldUntil)).Milliseconds()),
 	}
 	name := l.name
 	l.mu.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 	"crash-then-restart":   crashThenRestart,
 	"partial-heartbeat":    partialHeartbeat,
 	"late-order":           lateOrder,
+	"cold-leaf":            coldLeaf,
 }
 
 var errUsage = errors.New("usage: standin CASE RECORD")
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -46,6 +46,10 @@
 }
 
 const (
+	// coldStart is how long a leaf is cold, and coldPerS the requests per second that it tolerates meanwhile.
+	coldStart = 3 * time.Second
+	coldPerS  = 10.0
+
 	hostName    = "desk.example"
 	serviceName = "records"
 	// otherService is served by other leaves, under a route of its own.
@@ -59,7 +63,7 @@
 	out := configuration{
 		Version: version,
 		Services: []service{
-			{Name: serviceName, HealthPath: "/health", MaxConns: 110, Protocol: "h1", ColdStartS: 3},
+			{Name: serviceName, HealthPath: "/health", MaxConns: 110, Protocol: "h1", ColdStartS: coldStart.Seconds(), ColdPerS: coldPerS},
 			{Name: otherService, HealthPath: "/health", MaxConns: 110, Protocol: "h1", ColdStartS: 3},
 		},
 		Limits: limits{MaxHeaderBytes: 16384, MaxBodyBytes: 262144, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -200,14 +200,19 @@
 
 // killAll kills the processes of all hosts at the same moment and starts them again.
 func (s *system) killAll() error {
-	for _, h := range s.hosts() {
+	return s.killHosts(s.hosts())
+}
+
+// killHosts kills the processes of some hosts at the same moment and starts them again.
+func (s *system) killHosts(hosts []*host) error {
+	for _, h := range hosts {
 		s.signal(h, syscall.SIGKILL)
 	}
-	for _, h := range s.hosts() {
+	for _, h := range hosts {
 		<-h.exited
 	}
 	time.Sleep(restartDelay)
-	for _, h := range s.hosts() {
+	for _, h := range hosts {
 		if err := s.start(h, false); err != nil {
 			return err
 		}
