--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -90,8 +90,8 @@
 	requests map[string]time.Time
 }
 
-func (a *arrivals) note(_ *leaf, r *http.Request) {
-	if !strings.Contains(r.URL.Path, crashPath) {
+func (a *arrivals) note(l *leaf, r *http.Request) {
+	if l.crash == crashNever || !strings.Contains(r.URL.Path, crashPath) {
 		return
 	}
 	a.mu.Lock()
@@ -138,8 +138,8 @@
 		time.Sleep(contactWindow + margin)
 	}
 	late := seen.late(func(time.Time) bool { return false })
-	s.add("%d leaf runs; %d retries reached leaves later than %s after the third crash; allowed %d", seen.crashes, late, contactWindow, maxLateRetries)
-	return trouble && late > maxLateRetries, nil
+	s.add("%d leaves crashed; %d retries reached leaves later than %s after the third crash; allowed %d", seen.crashes, late, contactWindow, maxLateRetries)
+	return late > maxLateRetries, nil
 }
 
 // crashThenRestart: a request crashes each leaf that begins to run it. All processes of the system are killed once and come
@@ -169,7 +169,7 @@
 	time.Sleep(time.Until(back.Add(margin)))
 	send(5)
 	late := seen.late(func(at time.Time) bool { return at.After(killed) && at.Before(back) })
-	s.add("%d leaf runs; %d retries reached leaves later than %s after the third crash; allowed %d", seen.crashes, late, contactWindow, maxLateRetries)
+	s.add("%d leaves crashed; %d retries reached leaves later than %s after the third crash; allowed %d", seen.crashes, late, contactWindow, maxLateRetries)
 	return late > maxLateRetries, nil
 }
 
--- a/review/standin/recorder.go
+++ b/review/standin/recorder.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// recorder writes what was sent, answered and run to a file, with the time since the start.
+// recorder writes what was sent, answered and run to a file, with the milliseconds since the start.
 type recorder struct {
 	mu    sync.Mutex
 	file  *os.File
@@ -25,7 +25,7 @@
 func (r *recorder) add(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Fprintf(r.file, "%7d ms  %s\n", time.Since(r.start).Milliseconds(), fmt.Sprintf(format, args...))
 }
 
 func (r *recorder) close() {
