Refuse names that no message to other hosts can carry

Cause: decodeHeartbeat took the id of the path as it was. An id with bytes that are not UTF-8 entered the roster, where protocol buffers refuse to encode it: each Send of a Follow stream failed, between control hosts and to entry hosts, and the next stream began and ended in the same way. The roster file could not be written for the same reason (event 3022, as in the users' logs).

Change: enroller.Leaf checks itself when decoded, from a heartbeat and from another host. A name holds visible ASCII only, because each call to the leaf carries it in a header field. Departures and evacuated data centres are checked too (new event 5014).

--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -96,6 +96,11 @@
 	eventer.DocumentRefused.Log(k.clock(), "author", author, "error", err.Error())
 }
 
+// LogInvalidEvacuation logs an order for a data centre whose name is invalid.
+func (k *Keeper) LogInvalidEvacuation(author string, err error) {
+	eventer.EvacuationRefused.Log(k.clock(), "author", author, "error", err.Error())
+}
+
 // LogInvalidHeartbeat logs an unreadable or invalid heartbeat.
 func (k *Keeper) LogInvalidHeartbeat(author string, err error) {
 	eventer.AnnounceRejected.Log(k.clock(), "author", author, "error", err.Error())
--- a/lib/enroller/wire.go
+++ b/lib/enroller/wire.go
@@ -28,12 +28,10 @@
 	if err != nil {
 		return nil, oops.In("enroller").Wrapf(err, "address of %s", m.GetLeaf())
 	}
-	if m.GetLeaf() == "" || m.GetService() == "" {
-		return nil, oops.In("enroller").Errorf("a leaf without name or service")
-	}
-	return &Leaf{
+	out := &Leaf{
 		Name: m.GetLeaf(), Born: m.GetBorn(), Sequence: m.GetSequence(), Service: m.GetService(), Address: address,
 		Center: m.GetCenter(), Slots: int(m.GetSlots()), Leaving: m.GetLeaving(), Program: m.GetProgram(),
 		ColdUntil: now.Add(m.GetCold().AsDuration()),
-	}, nil
+	}
+	return out, oops.In("enroller").Wrap(out.Validate())
 }
--- a/lib/eventer/state.go
+++ b/lib/eventer/state.go
@@ -16,4 +16,5 @@
 	EvacuationUndecided = define(5011, Warning, "evacuation of a data centre not decided")
 	DepartureDecided    = define(5012, Info, "departure of a leaf recorded")
 	DepartureUndecided  = define(5013, Warning, "departure of a leaf not recorded")
+	EvacuationRefused   = define(5014, Warning, "evacuation of a data centre refused")
 )
