Refuse heartbeats with numbers and addresses of no leaf

Reported by another operator; here no process ends (the decoder bounds nesting and refuses what does not fit its type), but an entry of another writer with a sequence or a born of 2^64-1 took a sound leaf out of use, a departure with such a born kept all its incarnations out of use for ten minutes, 2^32 slots were forwarded as 0, and port 0, 0.0.0.0 and multicast addresses named leaves to call.

Change: enroller.Leaf.Validate bounds each field.

Evidence: TestOddHeartbeatsAreRefused and TestDepartureOfNoIncarnationIsRefused failed before and pass now; the tests of platform, enroller and fleetd pass.

--- a/lib/enroller/validate.go
+++ b/lib/enroller/validate.go
@@ -11,6 +11,12 @@
 	// large deployment within one message.
 	maxNameBytes = 128
 	maxTextBytes = 256
+	// maxSlots bounds the number of slots.
+	maxSlots = 1 << 16
+	// maxBorn bounds the start of an incarnation in Unix milliseconds: the end of the year 9999.
+	maxBorn = 253402300799999
+	// maxSequence bounds the sequence of a heartbeat. Larger integers are not exact in JSON.
+	maxSequence = 1<<53 - 1
 )
 
 // ErrInvalid is wrapped by all errors about records that no leaf may have.
@@ -18,7 +24,7 @@
 
 // Validate checks that a record can name a leaf and can be sent to all hosts.
 func (l *Leaf) Validate() error {
-	if err := ValidateName(l.Name); err != nil {
+	if err := ValidateIncarnation(l.Name, l.Born); err != nil {
 		return err
 	}
 	for _, f := range []struct{ field, text string }{{"service", l.Service}, {"data centre", l.Center}} {
@@ -32,15 +38,21 @@
 	if err := ValidateText("program", l.Program); err != nil {
 		return err
 	}
-	if l.Slots < 0 {
+	a := l.Address
+	switch {
+	case !a.IsValid() || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Addr().Zone() != "":
+		return fmt.Errorf("%w: the address %s cannot be connected to", ErrInvalid, a)
+	case l.Slots < 0 || l.Slots > maxSlots:
 		return fmt.Errorf("%w: %d slots", ErrInvalid, l.Slots)
+	case l.Sequence > maxSequence:
+		return fmt.Errorf("%w: the sequence %d is out of range", ErrInvalid, l.Sequence)
 	}
 	return nil
 }
 
-// ValidateName checks the name of a leaf. It is sent to the leaf in a header field, so only visible ASCII characters are
-// permitted.
-func ValidateName(name string) error {
+// ValidateIncarnation checks the name of a leaf and the start of an incarnation. The name is sent to the leaf in a header
+// field, so only visible ASCII characters are permitted.
+func ValidateIncarnation(name string, born uint64) error {
 	if name == "" || len(name) > maxNameBytes {
 		return fmt.Errorf("%w: a name of %d bytes", ErrInvalid, len(name))
 	}
@@ -49,6 +61,9 @@
 			return fmt.Errorf("%w: the name %q has a byte that is no visible ASCII character", ErrInvalid, name)
 		}
 	}
+	if born > maxBorn {
+		return fmt.Errorf("%w: the start %d is out of range", ErrInvalid, born)
+	}
 	return nil
 }
 
