Count a connection that ends in the middle of an answer as lost

Cause: readFailure took only network errors for a lost connection. A leaf whose process ends closes its connections, which reads as the end of the stream: in the middle of an answer this became ErrInvalidAnswer, and reportSuspect had nothing to report.

Change: the meter notes the end of the stream; a read that fails after it is ErrTruncated, which counts as a lost connection for the request but does not make the leaf unreachable.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -227,6 +227,8 @@
 		class.reason, class.end = reasonDeadline, selector.Abandoned
 	case errors.Is(err, exchanger.ErrConnectionLost):
 		class.end, class.connectionLost = selector.Unreachable, true
+	case errors.Is(err, exchanger.ErrTruncated):
+		class.connectionLost = true // The leaf was reached, so it is not avoided as unreachable.
 	}
 	return class
 }
--- a/fleetd/answerer/suspect_test.go
+++ b/fleetd/answerer/suspect_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lycheelift.example/fleetd/answerer"
+	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/lib/carrier"
 )
 
@@ -55,6 +56,27 @@
 	}
 }
 
+// Load: a request crashes every leaf that executes it, after the leaf has sent the first lines of its answer. Guards against
+// such a request that is sent to leaves again and again.
+func TestRequestThatEndsItsLeavesMidwayIsNoted(t *testing.T) {
+	for _, path := range []string{"/all/2f", "/one/2f", "/once/2f"} {
+		inBubble(t, func(t *testing.T) {
+			f, s := newFleet(10), &fakeSuspects{}
+			for name := range f.leaves {
+				f.leaves[name] = truncates
+			}
+			ask(newSuspecting(f, s), path)
+			qt.Assert(t, s.lost, qt.Equals, 1)
+			qt.Assert(t, s.answered, qt.Equals, 0)
+		})
+	}
+}
+
+// truncates ends the connection in the middle of the answer.
+func truncates(context.Context, *carrier.Call) (*carrier.Answer, error) {
+	return nil, exchanger.ErrTruncated
+}
+
 // Load: leaves crash, are unreachable, hang, shed load or fail, while others answer. Guards against harmless requests
 // that are reported as harmful.
 func TestInnocentRequestIsNotNoted(t *testing.T) {
--- a/fleetd/exchanger/exchanger.go
+++ b/fleetd/exchanger/exchanger.go
@@ -46,6 +46,8 @@
 	ErrAbandoned = errors.New("the call was abandoned before it was sent")
 	// ErrConnectionLost means that the connection failed after at least part of the request was sent.
 	ErrConnectionLost = errors.New("the connection to the leaf was lost")
+	// ErrTruncated means that the connection ended before the answer was complete. The leaf may have ended with it.
+	ErrTruncated = errors.New("the connection to the leaf ended in the middle of its answer")
 	// ErrInvalidAnswer means that the leaf sent bytes that are not a valid answer to the request.
 	ErrInvalidAnswer = errors.New("the leaf sent an invalid answer")
 )
@@ -148,7 +150,7 @@
 	}
 	answer, err := e.protocol.Read(l.reader, c, l.meter.permit)
 	if err != nil {
-		return nil, failure(ctx, readFailure(err), err)
+		return nil, failure(ctx, l.readFailure(err), err)
 	}
 	select {
 	case err := <-written:
@@ -199,11 +201,15 @@
 	return errors.Join(kind, err)
 }
 
-// readFailure distinguishes a failed connection from bytes that are not a valid answer.
-func readFailure(err error) error {
+// readFailure distinguishes a failed connection, and one that ended in the middle of the answer, from bytes that are not a
+// valid answer.
+func (l *connection) readFailure(err error) error {
 	var network net.Error
-	if errors.As(err, &network) {
+	switch {
+	case errors.As(err, &network):
 		return ErrConnectionLost
+	case l.meter.ended:
+		return ErrTruncated
 	}
 	return ErrInvalidAnswer
 }
--- a/fleetd/exchanger/exchanger_test.go
+++ b/fleetd/exchanger/exchanger_test.go
@@ -191,6 +191,26 @@
 	qt.Assert(t, err, qt.ErrorIs, exchanger.ErrUnreachable)
 }
 
+// A leaf ends while it sends an answer. Guards against taking any part of the answer for a complete one, and against a lost
+// leaf that is not told from one that sends bytes that are no answer: the request that ended it was then never refused.
+func TestAnswerCutAnywhereIsALostConnection(t *testing.T) {
+	for name, whole := range map[string]string{
+		"length": "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: 1\r\nContent-Length: 40\r\n\r\n" + strings.Repeat("x", 40),
+		"chunks": "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"hints":  "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Length: 1\r\n\r\nx",
+	} {
+		for n := 1; n < len(whole); n++ {
+			l := startLeaf(t, func(conn net.Conn, _ *http.Request) bool {
+				_, _ = fmt.Fprint(conn, whole[:n])
+				return false
+			})
+			a, err := newExchanger().Do(context.Background(), l.call("1"))
+			qt.Assert(t, a, qt.IsNil, qt.Commentf("%s, %d bytes", name, n))
+			qt.Assert(t, err, qt.ErrorIs, exchanger.ErrTruncated, qt.Commentf("%s, %d bytes", name, n))
+		}
+	}
+}
+
 // Guards against more connections to a leaf than this host's share.
 func TestShareBoundsTheConnections(t *testing.T) {
 	release := make(chan struct{})
--- a/fleetd/exchanger/meter.go
+++ b/fleetd/exchanger/meter.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 
@@ -52,6 +53,8 @@
 	// remaining is the number of bytes that may still arrive, read the number received for the current answer, and
 	// reserved the part of them that counts against the quota.
 	remaining, read, reserved int64
+	// ended is true once the leaf has closed its side of the connection.
+	ended bool
 }
 
 // begin permits the head of the next answer.
@@ -75,6 +78,7 @@
 // and a hash of the most recent ones.
 func (m *meter) Read(p []byte) (int, error) {
 	n, err := m.conn.Read(p)
+	m.ended = m.ended || errors.Is(err, io.EOF)
 	m.remaining -= int64(n)
 	m.read += int64(n)
 	if m.remaining < 0 {
