Ignore evacuation orders that a newer one has overtaken

Cause: an order had no identity and no place in time. A control host that wakes from a freeze reads the order that its kernel has held, and in about one of twenty cases runs the handler before the HTTP server has noticed that the operator has closed the connection and gone to another host.

Change: the host learns the newest order for the data centre by a linearizable read, then looks at the connection, and proposes the order with the index of the newest one. The state machine ignores an order if another one has been recorded since; the host then looks again. A departure without the start of its incarnation is held to the same check.

--- a/controld/store/machine.go
+++ b/controld/store/machine.go
@@ -24,10 +24,12 @@
 	ledger        *registrar.Ledger
 	documents     *configurator.Documents
 	evacuated     map[string]bool
-	departures    *enroller.Departures
-	members       *statev1.Members
-	time          time.Time
-	index         uint64
+	// orders holds the index of the newest evacuation order for each data centre.
+	orders     map[string]uint64
+	departures *enroller.Departures
+	members    *statev1.Members
+	time       time.Time
+	index      uint64
 	// changed is closed and replaced when documents, evacuations or departures have changed.
 	changed chan struct{}
 }
@@ -49,7 +51,7 @@
 func NewMachine(options ...MachineOption) *Machine {
 	m := &Machine{
 		configuration: configurator.New(), ledger: registrar.New(), documents: configurator.NewDocuments(),
-		evacuated: make(map[string]bool), departures: enroller.NewDepartures(), changed: make(chan struct{}),
+		evacuated: make(map[string]bool), orders: make(map[string]uint64), departures: enroller.NewDepartures(), changed: make(chan struct{}),
 	}
 	for _, o := range options {
 		o(m)
@@ -77,7 +79,7 @@
 	case *statev1.Command_Document:
 		return m.applyDocument(kind.Document, now)
 	case *statev1.Command_Evacuation:
-		return m.applyEvacuation(kind.Evacuation, now)
+		return m.applyEvacuation(index, kind.Evacuation, now)
 	case *statev1.Command_Departure:
 		return m.applyDeparture(kind.Departure, now)
 	case nil:
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -16,6 +16,7 @@
 	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/journaler"
+	"lycheelift.example/lib/peeker"
 	"lycheelift.example/lib/quarantiner"
 	"lycheelift.example/lib/router"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
@@ -114,11 +115,13 @@
 	return d.GetBody(), wrapUndecided(err)
 }
 
-// Evacuate takes the leaves of a data centre out of service, or puts them back if out is false.
+// Evacuate takes the leaves of a data centre out of service, or puts them back if out is false. An order is not carried out
+// once its author no longer waits for it, because the author may have sent a newer one to another host.
 func (k *Keeper) Evacuate(ctx context.Context, center string, out bool, author string) error {
 	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
 	defer cancel()
-	return wrapUndecided(k.store.Evacuate(ctx, &statev1.Evacuation{Center: center, Out: out, Author: author}))
+	waiting := func() bool { return peeker.CallerWaits(ctx) }
+	return wrapUndecided(k.store.Evacuate(ctx, &statev1.Evacuation{Center: center, Out: out, Author: author}, waiting))
 }
 
 // Heartbeat processes a heartbeat of a leaf. It returns the address to which the leaf should send further heartbeats; the
@@ -144,14 +147,20 @@
 	return k.controlAddressIn(l.Center, now), nil
 }
 
+// errLeafGone means that a leaf no longer waits for the acknowledgement of its departure.
+var errLeafGone = errors.New("the leaf no longer waits for the acknowledgement")
+
 // Leave records that an incarnation of a leaf has left. It returns once the record is committed. If born is 0, the
-// incarnation in the roster is meant.
+// incarnation in the roster is meant; that is only certain while the leaf waits, because a later one may have the same name.
 func (k *Keeper) Leave(ctx context.Context, name string, born uint64) error {
 	now := k.clock()
 	if born == 0 {
 		if l, ok := k.roster.Find(name); ok {
 			born = l.Born
 		}
+		if !peeker.CallerWaits(ctx) {
+			return wrapUndecided(errLeafGone)
+		}
 	}
 	k.roster.Leave(name, born, now)
 	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
--- a/fleetd/keeper/keeper_test.go
+++ b/fleetd/keeper/keeper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"net"
 	"net/netip"
 	"slices"
 	"testing"
@@ -15,6 +16,7 @@
 	"lycheelift.example/controld/store"
 	"lycheelift.example/fleetd/keeper"
 	"lycheelift.example/lib/enroller"
+	"lycheelift.example/lib/peeker"
 	"lycheelift.example/lib/router"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
@@ -138,6 +140,47 @@
 	qt.Assert(t, changes, qt.HasLen, 2)
 }
 
+// newCaller returns the context of a request and a function that closes the caller's connection.
+func newCaller(t *testing.T) (context.Context, func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	conn, err := listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = conn.Close() })
+	return peeker.WithConn(context.Background(), conn), func() {
+		qt.Assert(t, caller.Close(), qt.IsNil)
+		for !peeker.HasEnded(conn) {
+		}
+	}
+}
+
+// Guards against a departure that was held up and takes the next incarnation with the same name out of use.
+func TestDepartureOfALeafThatHasLeftIsNotCarriedOut(t *testing.T) {
+	ctx, hangUp := newCaller(t)
+	w := newFixture()
+	_, err := w.keeper.Heartbeat(ctx, leaf(6, 1, false))
+	qt.Assert(t, err, qt.IsNil)
+	hangUp()
+	qt.Assert(t, w.keeper.Leave(ctx, "x", 0), qt.ErrorIs, keeper.ErrUndecided)
+	qt.Assert(t, w.store.Departed("x", 6), qt.IsFalse)
+	qt.Assert(t, w.keeper.Leave(ctx, "x", 6), qt.IsNil)
+	qt.Assert(t, w.store.Departed("x", 6), qt.IsTrue)
+}
+
+// A control host is frozen while it has an order, and its author moves on to another host. Guards against a host that carries
+// the order out when it wakes, before its server has noticed the end of the connection.
+func TestOrderOfACallerWhoHasLeftIsNotCarriedOut(t *testing.T) {
+	ctx, hangUp := newCaller(t)
+	w := newFixture()
+	qt.Assert(t, w.keeper.Evacuate(ctx, "b", true, "op"), qt.IsNil)
+	hangUp()
+	qt.Assert(t, w.keeper.Evacuate(ctx, "b", false, "op"), qt.ErrorIs, keeper.ErrUndecided)
+	qt.Assert(t, w.store.View().Evacuated, qt.DeepEquals, []string{"b"})
+}
+
 // Guards against a control host that claims to be up to date while it has no contact with a leader or cannot write.
 func TestSettled(t *testing.T) {
 	w := newFixture()
--- a/fleetd/receiver/receiver.go
+++ b/fleetd/receiver/receiver.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 
 	"lycheelift.example/lib/drainer"
+	"lycheelift.example/lib/peeker"
 )
 
 const (
@@ -78,7 +79,7 @@
 		return oops.In("receiver").Wrapf(err, "listen on %s", address)
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnContext: peeker.WithConn,
 		ErrorLog: stdlog.New(io.Discard, "", 0), // It reports malformed input from callers; the handler logs relevant errors.
 	}
 	listener = r.conns.Attach(server, listener)
--- a/lib/peeker/peeker_test.go
+++ b/lib/peeker/peeker_test.go
@@ -1,6 +1,7 @@
 package peeker_test
 
 import (
+	"context"
 	"net"
 	"testing"
 
@@ -58,3 +59,25 @@
 	for peeker.NoPendingData(near) {
 	}
 }
+
+// Guards against a request that is carried out although its sender no longer waits: the end of the connection must be seen
+// while another goroutine reads from it, and also when the server has not noticed it yet.
+func TestEndOfTheCallerIsSeen(t *testing.T) {
+	near, far := connPair(t)
+	ctx := peeker.WithConn(context.Background(), near)
+	qt.Assert(t, peeker.CallerWaits(ctx), qt.IsTrue)
+	_, err := far.Write([]byte("x"))
+	qt.Assert(t, err, qt.IsNil)
+	for peeker.NoPendingData(near) {
+	}
+	qt.Assert(t, peeker.CallerWaits(ctx), qt.IsTrue)
+	_, err = near.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, far.Close(), qt.IsNil)
+	for peeker.CallerWaits(ctx) {
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	qt.Assert(t, peeker.CallerWaits(ended), qt.IsTrue)
+	cancel()
+	qt.Assert(t, peeker.CallerWaits(ended), qt.IsFalse)
+}
