Answer undecided to a departure that means no known incarnation

A departure without the start of its incarnation means the one in the roster of the control host that receives it.

Change: such a host answers 503, so that the leaf turns to another one, unless a departure of the leaf is on record already.

Evidence: TestDepartureOfAnUnknownLeafIsUndecided failed before and passes now.

--- a/controld/store/depart.go
+++ b/controld/store/depart.go
@@ -34,6 +34,11 @@
 	return s.machine.departures.Departed(leaf, born)
 }
 
+// HasDeparted reports whether the departure of any incarnation of a leaf is recorded in the local state.
+func (s *Store) HasDeparted(leaf string) bool {
+	return s.Departed(leaf, 0)
+}
+
 // View is a copy of the part of the local state that entry hosts follow.
 type View struct {
 	// Index is the index of the newest log record that is included.
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -147,20 +147,27 @@
 	return k.controlAddressIn(l.Center, now), nil
 }
 
-// errLeafGone means that a leaf no longer waits for the acknowledgement of its departure.
-var errLeafGone = errors.New("the leaf no longer waits for the acknowledgement")
+// Reasons why a departure without the start of the incarnation is not recorded.
+var (
+	errLeafGone    = errors.New("the leaf no longer waits for the acknowledgement")
+	errLeafUnknown = errors.New("this host does not know the leaf that leaves; another one may")
+)
 
 // Leave records that an incarnation of a leaf has left. It returns once the record is committed. If born is 0, the
 // incarnation in the roster is meant; that is only certain while the leaf waits, because a later one may have the same name.
 func (k *Keeper) Leave(ctx context.Context, name string, born uint64) error {
 	now := k.clock()
 	if born == 0 {
-		if l, ok := k.roster.Find(name); ok {
-			born = l.Born
-		}
-		if !peeker.CallerWaits(ctx) {
+		l, ok := k.roster.Find(name)
+		switch {
+		case !ok && k.store.HasDeparted(name):
+			return nil // It was heard and forgotten since.
+		case !ok:
+			return wrapUndecided(errLeafUnknown)
+		case !peeker.CallerWaits(ctx):
 			return wrapUndecided(errLeafGone)
 		}
+		born = l.Born
 	}
 	k.roster.Leave(name, born, now)
 	ctx, cancel := context.WithTimeout(ctx, decisionTimeout)
--- a/fleetd/keeper/keeper_test.go
+++ b/fleetd/keeper/keeper_test.go
@@ -157,6 +157,16 @@
 	}
 }
 
+// Guards against acknowledging a departure that changes nothing, because this host does not know which incarnation leaves:
+// the other hosts go on using the leaf.
+func TestDepartureOfAnUnknownLeafIsUndecided(t *testing.T) {
+	ctx := context.Background()
+	w := newFixture()
+	qt.Assert(t, w.keeper.Leave(ctx, "x", 0), qt.ErrorIs, keeper.ErrUndecided)
+	qt.Assert(t, w.keeper.Leave(ctx, "x", 5), qt.IsNil)
+	qt.Assert(t, w.keeper.Leave(ctx, "x", 0), qt.IsNil)
+}
+
 // Guards against a departure that was held up and takes the next incarnation with the same name out of use.
 func TestDepartureOfALeafThatHasLeftIsNotCarriedOut(t *testing.T) {
 	ctx, hangUp := newCaller(t)
