Choose the leaf of a late hedge or retry among the leaves of that moment

Cause: a query pins its view when it arrives, and Choose picked the leaf of each hedge and retry from the pinned holders, seconds later. A lost connection was replaced by a new one to the same leaf.

Change: Choose takes the leaves that hold the shard now; a leaf that was called before is called again only if it is among them (planner.LeafChecker).

--- a/fleetd/answerer/answerer_test.go
+++ b/fleetd/answerer/answerer_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +34,8 @@
 	unsent map[string]bool
 	calls  []*carrier.Call
 	view   follower.View
+	// later replaces the view once it is set.
+	later atomic.Pointer[follower.View]
 }
 
 const (
@@ -121,7 +125,20 @@
 	return nil, ctx.Err()
 }
 
-func (f *fleet) View() *follower.View { return &f.view }
+func (f *fleet) View() *follower.View {
+	if later := f.later.Load(); later != nil {
+		return later
+	}
+	return &f.view
+}
+
+// keepOnly replaces the view by one in which a service has only the named leaves.
+func (f *fleet) keepOnly(service string, names ...string) {
+	next := *f.View()
+	next.Holders = maps.Clone(next.Holders)
+	next.Holders[service] = slices.DeleteFunc(slices.Clone(next.Holders[service]), func(l *cataloguer.Leaf) bool { return !slices.Contains(names, l.Name) })
+	f.later.Store(&next)
+}
 
 func (f *fleet) Do(ctx context.Context, c *carrier.Call) (*carrier.Answer, error) {
 	f.mu.Lock()
--- a/fleetd/answerer/environment.go
+++ b/fleetd/answerer/environment.go
@@ -1,6 +1,7 @@
 package answerer
 
 import (
+	"slices"
 	"time"
 
 	"lycheelift.example/lib/cataloguer"
@@ -41,12 +42,13 @@
 	return out, reasonNone
 }
 
-// Choose picks a leaf. Leaves that could not be reached recently are skipped as long as the other shards give
-// sufficient coverage.
-func (e *environment) Choose(shard uint32, holders []*cataloguer.Leaf, tried []string, now time.Time) (planner.Target, bool) {
+// Choose picks a leaf among those that hold the shard now: some of the pinned holders may have left or been evacuated since
+// the request arrived. Leaves that could not be reached recently are skipped as long as the other shards give sufficient
+// coverage.
+func (e *environment) Choose(shard uint32, _ []*cataloguer.Leaf, tried []string, now time.Time) (planner.Target, bool) {
 	q := (*query)(e)
 	c := q.choice(shard)
-	c.Holders, c.Tried = holders, tried
+	c.Holders, c.Tried = q.holders(shard), tried
 	leaf, ok := q.answerer.selector.Choose(c, now)
 	if !ok && len(tried) == 0 {
 		if q.skippable() {
@@ -59,6 +61,18 @@
 	return planner.Target{Leaf: leaf}, ok
 }
 
+// Callable reports whether a leaf still holds the shard.
+func (e *environment) Callable(shard uint32, leaf *cataloguer.Leaf) bool {
+	return slices.ContainsFunc((*query)(e).holders(shard), func(l *cataloguer.Leaf) bool {
+		return l.Name == leaf.Name && l.Incarnation == leaf.Incarnation
+	})
+}
+
+// holders returns the leaves that hold a shard at present.
+func (q *query) holders(shard uint32) []*cataloguer.Leaf {
+	return q.answerer.viewer.View().Holders[q.shards[shard]]
+}
+
 // skippable reports whether one more shard may be omitted.
 func (q *query) skippable() bool {
 	if len(q.route.Gather) == 0 {
--- a/lib/planner/retry.go
+++ b/lib/planner/retry.go
@@ -1,6 +1,10 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"lycheelift.example/lib/cataloguer"
+)
 
 // retry makes another call for a shard whose calls have all failed. It reports whether it did.
 func (p *Planner) retry(n int, r Result, now time.Time) bool {
@@ -57,5 +61,17 @@
 	if target, ok := p.env.Choose(r.Shard, p.snapshot.Holders[r.Shard], p.tried(r.Shard), now); ok {
 		return target, true
 	}
-	return current, r.Reason == reasonConnectionLost
+	return current, r.Reason == reasonConnectionLost && p.callable(r.Shard, current.Leaf)
+}
+
+// LeafChecker is an Environment whose leaves may leave while a query runs.
+type LeafChecker interface {
+	// Callable reports whether a leaf of the pinned snapshot may still be called for a shard.
+	Callable(shard uint32, leaf *cataloguer.Leaf) bool
+}
+
+// callable reports whether a leaf that was called before may be called again.
+func (p *Planner) callable(i uint32, leaf *cataloguer.Leaf) bool {
+	checker, ok := p.env.(LeafChecker)
+	return !ok || checker.Callable(i, leaf)
 }
