Answer every request in progress at the end of a planned stop

Cause: a stopping host took each request as at any other time, and closed the connections of all requests in progress 700 ms before the end of the grace time.

Change: the receiver has a schedule of the stop (drainer.Stop). Once callers can know of it, a request that may outlast the end is refused as not run. At the end the requests in progress are cancelled, and get 504, or 503 if no leaf can have got them, before their connections are closed. A stopping host finishes the portions that it gathers for others.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -17,6 +17,7 @@
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/divider"
+	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/estimator"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/router"
@@ -92,7 +93,9 @@
 	metrics  *metrics
 	gauge    *gauger.Gauger
 	suspects SuspectTracker
-	cutOff   atomic.Bool
+	// stop returns the schedule of this host's graceful stop, nil while it is not stopping.
+	stop   func() *drainer.Stop
+	cutOff atomic.Bool
 	// helper has portions of at most portionSize shards gathered by the hosts that divider chooses. It is nil if queries
 	// are not divided.
 	helper      Helper
@@ -130,6 +133,11 @@
 	return func(a *Answerer) { a.suspects = s }
 }
 
+// WithStop sets the function that returns the schedule of this host's graceful stop, nil while it is not stopping.
+func WithStop(stop func() *drainer.Stop) Option {
+	return func(a *Answerer) { a.stop = stop }
+}
+
 // budgetShare keeps the extra calls below their bound, because the clocks and counts of other hosts may differ.
 const budgetShare = 0.9
 
@@ -141,7 +149,7 @@
 		estimate: estimator.New(estimator.WithPermille(hedgePercentile), estimator.WithWindow(estimateWindow, estimateRefresh)),
 		budget:   budgeter.NewWindow(bounds.Window, budgetShare*bounds.Ratio),
 		random:   rand.Float64, metrics: newMetrics(tally.NoopScope), gauge: gauger.New(),
-		suspects: noSuspects{},
+		suspects: noSuspects{}, stop: func() *drainer.Stop { return nil },
 	}
 	for _, o := range options {
 		o(a)
--- a/fleetd/answerer/divide.go
+++ b/fleetd/answerer/divide.go
@@ -10,6 +10,7 @@
 	"lycheelift.example/lib/assembler"
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/divider"
+	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/merger"
 )
@@ -147,11 +148,19 @@
 			q.lostConnections += u.parts.LostConnections
 		case <-timer.C:
 		case <-ctx.Done():
-			return &carrier.Reply{Outcome: carrier.Abandoned, Reason: "the caller disconnected"}
+			return cancelledReply(ctx)
 		}
 	}
 }
 
+// cancelledReply returns the reply to a query whose context has ended.
+func cancelledReply(ctx context.Context) *carrier.Reply {
+	if errors.Is(context.Cause(ctx), drainer.ErrStopping) {
+		return &carrier.Reply{Outcome: carrier.TimedOut, Reason: drainer.ErrStopping.Error()}
+	}
+	return &carrier.Reply{Outcome: carrier.Abandoned, Reason: "the caller disconnected"}
+}
+
 // divide splits the query into portions.
 func (q *query) divide() []*portionState {
 	a := q.answerer
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"time"
 
 	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/planner"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/lib/selector"
@@ -19,6 +21,9 @@
 	replyTime = 10 * time.Millisecond
 	// replyTimeDivisor limits replyTime to a fraction of short targets.
 	replyTimeDivisor = 3
+	// lateTargets is the number of targets that an idempotent request needs to be taken late in a graceful stop. Others
+	// need the whole time until their deadline, because they cannot be sent again elsewhere.
+	lateTargets = 4
 	// defaultWait is the time allowed for a request if neither its caller nor its route sets one.
 	defaultWait = 10 * time.Second
 )
@@ -115,6 +120,9 @@
 	if !q.deadline.After(now) {
 		return &carrier.Reply{Outcome: carrier.Refused, Reason: "the deadline has passed"}
 	}
+	if !q.answerer.stop().Admits(q.neededUntil(now), now) {
+		return &carrier.Reply{Outcome: carrier.Refused, Reason: "this host stops before the request may have ended"}
+	}
 	if a := q.answerer; a.cutOff.Load() && a.lacksCoverage(q.view, route) {
 		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: startWait, Reason: "this data centre is cut off, and its leaves do not suffice"}
 	}
@@ -128,7 +136,7 @@
 	for _, name := range q.shards {
 		q.answerer.budget.Request(name, now)
 	}
-	return q.reply(q.run(ctx))
+	return q.reply(ctx, q.run(ctx))
 }
 
 // reportSuspect reports whether the leaves that received the request survived it.
@@ -153,6 +161,18 @@
 	return q.request.Received.Add(wait)
 }
 
+// neededUntil returns the time until which this host must run for the request to be taken.
+func (q *query) neededUntil(now time.Time) time.Time {
+	if !q.route.Idempotent {
+		return q.deadline
+	}
+	late := now.Add(lateTargets * q.targetOrDefault())
+	if late.Before(q.deadline) {
+		return late
+	}
+	return q.deadline
+}
+
 // targetTime returns the time at which the reply should be sent, or the zero time if there is no target.
 func (q *query) targetTime() time.Time {
 	if q.route.Target <= 0 || len(q.route.Gather) == 0 || q.emit != nil {
@@ -230,7 +250,7 @@
 }
 
 // reply converts the planner's reply to the reply for the caller.
-func (q *query) reply(p *planner.Reply) *carrier.Reply {
+func (q *query) reply(ctx context.Context, p *planner.Reply) *carrier.Reply {
 	switch p.Outcome {
 	case callerv1.Outcome_OUTCOME_WHOLE, callerv1.Outcome_OUTCOME_PARTIAL:
 		if len(q.route.Gather) > 0 {
@@ -240,7 +260,8 @@
 	case callerv1.Outcome_OUTCOME_REFUSED:
 		return q.refused(p.Reason)
 	}
-	if p.Reason != callerv1.Reason_REASON_CANCELLED && q.notRun() {
+	stopped := errors.Is(context.Cause(ctx), drainer.ErrStopping)
+	if (stopped || p.Reason != callerv1.Reason_REASON_CANCELLED) && q.notRun() {
 		return q.refused(p.Reason)
 	}
 	q.unreachable = unreachable(p.Reason)
@@ -252,7 +273,7 @@
 	case callerv1.Reason_REASON_DEADLINE:
 		out.Outcome = carrier.TimedOut
 	case callerv1.Reason_REASON_CANCELLED:
-		out.Outcome = carrier.Abandoned
+		return cancelledReply(ctx)
 	}
 	return out
 }
--- a/fleetd/receiver/receiver.go
+++ b/fleetd/receiver/receiver.go
@@ -30,8 +30,10 @@
 	noticeTime = 3200 * time.Millisecond
 	// drainInterval is the interval at which a stopping host checks its connections.
 	drainInterval = 20 * time.Millisecond
-	// shutdownReserve is the part of the grace time that is reserved for closing the server.
+	// shutdownReserve is the part of the grace time that is reserved for the answers to cancelled requests and for closing
+	// the server, and answerTime the part of it for the answers.
 	shutdownReserve = 700 * time.Millisecond
+	answerTime      = 300 * time.Millisecond
 )
 
 // Receiver serves one address. It is safe for concurrent use.
@@ -40,9 +42,10 @@
 	grace time.Duration
 	clock func() time.Time
 	// conns tracks the callers' connections.
-	conns    *drainer.Drainer
-	notice   time.Duration
-	stopping atomic.Bool
+	conns  *drainer.Drainer
+	notice time.Duration
+	// schedule is nil until the receiver stops.
+	schedule atomic.Pointer[drainer.Stop]
 }
 
 // Option configures a Receiver.
@@ -69,7 +72,12 @@
 // Stopping reports whether the receiver is stopping. The host is then not ready, and every answer closes its
 // connection.
 func (r *Receiver) Stopping() bool {
-	return r.stopping.Load()
+	return r.schedule.Load() != nil
+}
+
+// Stop returns the schedule of the graceful stop, nil while the receiver is not stopping.
+func (r *Receiver) Stop() *drainer.Stop {
+	return r.schedule.Load()
 }
 
 // Run serves an address until ctx ends, then stops gracefully.
@@ -78,8 +86,16 @@
 	if err != nil {
 		return oops.In("receiver").Wrapf(err, "listen on %s", address)
 	}
+	return r.serve(ctx, listener, handler)
+}
+
+// serve serves the connections of a listener until ctx ends, then stops gracefully.
+func (r *Receiver) serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	requests, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	defer cancel(nil)
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnContext: peeker.WithConn,
+		BaseContext: func(net.Listener) context.Context { return requests },
+		Handler:     handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnContext: peeker.WithConn,
 		ErrorLog: stdlog.New(io.Discard, "", 0), // It reports malformed input from callers; the handler logs relevant errors.
 	}
 	listener = r.conns.Attach(server, listener)
@@ -90,24 +106,26 @@
 	for {
 		select {
 		case err := <-failed:
-			return oops.In("receiver").Wrapf(err, "serve %s", address)
+			return oops.In("receiver").Wrapf(err, "serve %s", listener.Addr())
 		case <-ticker.C:
 			r.sweep(r.clock())
 		case <-ctx.Done():
-			return r.stop(server)
+			return r.stop(server, cancel)
 		}
 	}
 }
 
 // stop waits for the load balancer to detect the stop, then for the requests in progress to end. It serves the
 // address until no connection remains: closing the listener resets connections that the kernel has accepted but this
-// process has not.
-func (r *Receiver) stop(server *http.Server) error {
-	r.stopping.Store(true)
+// process has not. Requests that are still in progress at the end are cancelled and get an answer before their connections
+// are closed.
+func (r *Receiver) stop(server *http.Server, cancelRequests context.CancelCauseFunc) error {
 	began := r.clock()
-	end := began.Add(r.grace - shutdownReserve)
-	for now := began; now.Before(end) && !r.drained(began, now); now = r.clock() {
-		time.Sleep(drainInterval)
+	schedule := &drainer.Stop{Noticed: began.Add(r.notice), End: began.Add(r.grace - shutdownReserve)}
+	r.schedule.Store(schedule)
+	if !r.awaitDrained(schedule, schedule.End) {
+		cancelRequests(drainer.ErrStopping)
+		r.awaitDrained(schedule, schedule.End.Add(answerTime))
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), drainInterval)
 	defer cancel()
@@ -118,10 +136,21 @@
 	return oops.In("receiver").Wrapf(err, "stop")
 }
 
+// awaitDrained waits until no connection remains. It reports false if there still are some at the given time.
+func (r *Receiver) awaitDrained(s *drainer.Stop, end time.Time) bool {
+	for now := r.clock(); now.Before(end); now = r.clock() {
+		if r.drained(s, now) {
+			return true
+		}
+		time.Sleep(drainInterval)
+	}
+	return false
+}
+
 // drained closes connections without a request once the load balancer has had time to detect the stop. It reports
 // whether no connection remains and none has been accepted recently.
-func (r *Receiver) drained(began, now time.Time) bool {
-	return now.Sub(began) >= r.notice && r.conns.Drain(now)
+func (r *Receiver) drained(s *drainer.Stop, now time.Time) bool {
+	return !now.Before(s.Noticed) && r.conns.Drain(now)
 }
 
 // sweep closes connections that have been idle for too long.
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -15,6 +15,7 @@
 	"lycheelift.example/fleetd/linker"
 	"lycheelift.example/fleetd/receiver"
 	"lycheelift.example/fleetd/suspector"
+	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
 	"lycheelift.example/lib/router"
@@ -41,13 +42,6 @@
 	client := follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
 	go client.Run(running)
 	go suspects.Run(running, client.Report, clock)
-	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
-	helperClient := helper.NewClient(clock)
-	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
-		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
-	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient))
-	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
-		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
 	limits := func() router.Limits {
 		if t := viewFollower.View().Table; t != nil {
 			return t.Document().Limits
@@ -55,6 +49,14 @@
 		return router.Limits{}
 	}
 	requestReceiver := receiver.New(func() time.Duration { return limits().IdleTimeout }, s.grace, clock)
+	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
+	helperClient := helper.NewClient(clock)
+	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
+		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
+	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStop(requestReceiver.Stop),
+		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient))
+	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
+		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
 	ready := func() bool {
 		return !requestReceiver.Stopping() && viewFollower.View().Table != nil && !queryAnswerer.CutOff(clock())
 	}
@@ -65,8 +67,9 @@
 		}
 	}()
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
+	peers := newPeers(helper.NewService(queryAnswerer, requestReceiver.Stopping, clock))
 	go func() {
-		if err := servePortions(running, s, helper.NewService(queryAnswerer, requestReceiver.Stopping, clock)); err != nil {
+		if err := servePeers(running, s, peers); err != nil {
 			eventer.ServeFailed.Log(clock(), "address", s.bind, "error", err.Error())
 		}
 	}()
@@ -76,15 +79,21 @@
 		eventer.Draining.Log(clock(), "host", s.Name)
 	}()
 	err := requestReceiver.Run(ctx, s.Listen.Callers, platform.NewIngress(queryAnswerer, limits, closing, clock))
+	finishPortions(peers, requestReceiver.Stop(), clock())
 	eventer.Stopped.Log(clock(), "host", s.Name)
 	return err
 }
 
-// servePortions serves portions of queries to the other entry hosts until ctx ends.
-func servePortions(ctx context.Context, s *Settings, service *helper.Service) error {
+// newPeers returns the server of the portions that this host gathers for other entry hosts.
+func newPeers(service *helper.Service) *grpc.Server {
 	_, options := linker.Options()
 	peers := grpc.NewServer(options...)
 	peerv1.RegisterGatherServiceServer(peers, service)
+	return peers
+}
+
+// servePeers serves the other entry hosts until ctx ends.
+func servePeers(ctx context.Context, s *Settings, peers *grpc.Server) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.bind)
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen on %s", s.bind)
@@ -94,6 +103,16 @@
 	return oops.In("server").Wrapf(peers.Serve(listener), "serve %s", s.bind)
 }
 
+// finishPortions waits until the portions in progress have ended, or until the end of the graceful stop.
+func finishPortions(peers *grpc.Server, stop *drainer.Stop, now time.Time) {
+	if stop == nil {
+		return
+	}
+	timer := time.AfterFunc(stop.End.Sub(now), peers.Stop)
+	defer timer.Stop()
+	peers.GracefulStop()
+}
+
 // sweep calls each function as soon as the host is configured, and then every sweepInterval until ctx ends.
 func sweep(ctx context.Context, clock func() time.Time, configured func() bool, functions ...func(now time.Time)) {
 	ticker := time.NewTicker(startupInterval)
