Stop calling a leaf that says in an answer that it is leaving

Change: every answer that carries the request's identity is observed, also refusals, failures and answers that nobody waits for any more.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -81,9 +81,11 @@
 		running.permit = alternative.permit
 	}
 	running.outgoing.Gate.Join(running.permit)
+	running.outgoing.Withdrawn = func() bool { return a.selector.Barred(c.Target.Leaf, a.clock()) }
 	results := q.results
 	go func() {
 		answer, err := a.caller.Do(ctx, running.outgoing)
+		a.observe(c.Target.Leaf, q.request.ID, answer)
 		results <- callResult{call: running, answer: answer, err: err}
 	}()
 }
--- a/fleetd/answerer/environment.go
+++ b/fleetd/answerer/environment.go
@@ -61,9 +61,9 @@
 	return planner.Target{Leaf: leaf}, ok
 }
 
-// Callable reports whether a leaf still holds the shard.
-func (e *environment) Callable(shard uint32, leaf *cataloguer.Leaf) bool {
-	return slices.ContainsFunc((*query)(e).holders(shard), func(l *cataloguer.Leaf) bool {
+// Callable reports whether a leaf still holds the shard and wants requests.
+func (e *environment) Callable(shard uint32, leaf *cataloguer.Leaf, now time.Time) bool {
+	return !e.answerer.selector.Barred(leaf, now) && slices.ContainsFunc((*query)(e).holders(shard), func(l *cataloguer.Leaf) bool {
 		return l.Name == leaf.Name && l.Incarnation == leaf.Incarnation
 	})
 }
--- /dev/null
+++ b/fleetd/answerer/observe.go
@@ -0,0 +1,18 @@
+package answerer
+
+import (
+	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/cataloguer"
+	"lycheelift.example/lib/eventer"
+)
+
+// observe records what a leaf says of itself in an answer, whether or not the query still waits for the answer.
+func (a *Answerer) observe(l *cataloguer.Leaf, request string, answer *carrier.Answer) {
+	if answer == nil || answer.ID != request || answer.AddressReassigned {
+		return // It is the answer of another leaf, or to another request.
+	}
+	now := a.clock()
+	if answer.Leaving && a.selector.MarkLeaving(l, now) {
+		eventer.LeafSaysLeaving.Log(now, "id", request, "leaf", l.Name, "born", l.Incarnation, "service", l.Service)
+	}
+}
--- a/fleetd/exchanger/exchanger.go
+++ b/fleetd/exchanger/exchanger.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if !c.Gate.Pass() {
+	if c.Withdrawn != nil && c.Withdrawn() || !c.Gate.Pass() {
 		e.release(l, c, &carrier.Answer{}) // Nothing was sent, so the connection can be reused.
 		return nil, ErrAbandoned
 	}
--- a/fleetd/receiver/receiver_test.go
+++ b/fleetd/receiver/receiver_test.go
@@ -157,6 +157,7 @@
 		response, err := http.ReadResponse(bufio.NewReader(far), nil)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, response.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+		qt.Assert(t, response.Body.Close(), qt.IsNil)
 		qt.Assert(t, <-ended, qt.IsNil)
 		qt.Assert(t, time.Since(began) < 6*time.Second, qt.IsTrue)
 		_ = far.Close()
--- a/leafd/provider/provider.go
+++ b/leafd/provider/provider.go
@@ -24,6 +24,7 @@
 	headerNotRun   = "Not-Executed"
 	headerInstance = "Instance-Id"
 	headerLoad     = "Server-Load"
+	headerLeaving  = "Server-Leaving"
 )
 
 // RecordCount is the number of records in the partial result of a service, RecordSize the size of a record in bytes.
@@ -108,6 +109,12 @@
 	return l.random.Float64() < fraction
 }
 
+func (l *Leaf) isDraining() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.draining
+}
+
 func (l *Leaf) currentBehaviour() Behaviour {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -117,6 +124,9 @@
 func (l *Leaf) serve(w http.ResponseWriter, r *http.Request) {
 	b, id := l.currentBehaviour(), r.Header.Get(headerRequest)
 	w.Header().Set(headerRequest, id)
+	if l.isDraining() {
+		w.Header().Set(headerLeaving, "1")
+	}
 	if expected := r.Header.Get(headerExpect); expected != "" && expected != l.config.Name {
 		w.Header().Set(headerInstance, l.config.Name)
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/lib/carrier/carrier.go
+++ b/lib/carrier/carrier.go
@@ -44,6 +44,8 @@
 	MaxBody int64
 	// Gate must be passed before the first byte is sent.
 	Gate Gate
+	// Withdrawn, if set, reports that the call must not be sent any more. It is asked once there is a connection.
+	Withdrawn func() bool
 }
 
 // Load is the load that a leaf reports.
@@ -72,6 +74,8 @@
 	ImpliesNotRun bool
 	// AddressReassigned is true when another leaf now uses the address.
 	AddressReassigned bool
+	// Leaving is true when the leaf says that it is leaving.
+	Leaving bool
 	// Load is nil if the leaf does not report it.
 	Load *Load
 	// Close is true when the connection must not be reused.
--- a/lib/planner/retry.go
+++ b/lib/planner/retry.go
@@ -61,17 +61,17 @@
 	if target, ok := p.env.Choose(r.Shard, p.snapshot.Holders[r.Shard], p.tried(r.Shard), now); ok {
 		return target, true
 	}
-	return current, r.Reason == reasonConnectionLost && p.callable(r.Shard, current.Leaf)
+	return current, r.Reason == reasonConnectionLost && p.callable(r.Shard, current.Leaf, now)
 }
 
 // LeafChecker is an Environment whose leaves may leave while a query runs.
 type LeafChecker interface {
 	// Callable reports whether a leaf of the pinned snapshot may still be called for a shard.
-	Callable(shard uint32, leaf *cataloguer.Leaf) bool
+	Callable(shard uint32, leaf *cataloguer.Leaf, now time.Time) bool
 }
 
 // callable reports whether a leaf that was called before may be called again.
-func (p *Planner) callable(i uint32, leaf *cataloguer.Leaf) bool {
+func (p *Planner) callable(i uint32, leaf *cataloguer.Leaf, now time.Time) bool {
 	checker, ok := p.env.(LeafChecker)
-	return !ok || checker.Callable(i, leaf)
+	return !ok || checker.Callable(i, leaf, now)
 }
--- a/lib/selector/record.go
+++ b/lib/selector/record.go
@@ -68,6 +68,8 @@
 	// failedConnects counts consecutive calls that did not reach the leaf. It is not called before retryAt.
 	failedConnects int
 	retryAt        time.Time
+	// leavingUntil is when the leaf's statement that it is leaving expires.
+	leavingUntil time.Time
 	// nextColdCall is the earliest time of the next call to the leaf while it is cold.
 	nextColdCall time.Time
 }
--- a/lib/selector/selector.go
+++ b/lib/selector/selector.go
@@ -80,6 +80,9 @@
 func (t *Table) cost(c *Choice, l *cataloguer.Leaf, now time.Time) (float64, bool) {
 	r, unlock := t.stats(l.Name, l.Incarnation, now)
 	defer unlock()
+	if r.isBarred(now) {
+		return 0, false
+	}
 	cold := now.Before(l.ColdUntil)
 	if cold && c.ColdInterval > 0 && now.Before(r.nextColdCall) {
 		return 0, false
