Send nothing to a leaf for as long as it wants no requests

Change: the selector bars the leaf on this host until then, for first calls, hedges and retries, also when there is no other leaf; calls that still wait for a connection to it are withdrawn. If the leaves that want no requests are what is lacking, a request is refused at once, with the time at which enough of them are back. Event 3026. leafd can refuse in this way.

--- a/fleetd/answerer/observe.go
+++ b/fleetd/answerer/observe.go
@@ -12,6 +12,9 @@
 		return // It is the answer of another leaf, or to another request.
 	}
 	now := a.clock()
+	if answer.RetryAfter > 0 && a.selector.Pause(l, now.Add(answer.RetryAfter), now) {
+		eventer.LeafPaused.Log(now, "id", request, "leaf", l.Name, "born", l.Incarnation, "service", l.Service, "for", answer.RetryAfter)
+	}
 	if answer.Leaving && a.selector.MarkLeaving(l, now) {
 		eventer.LeafSaysLeaving.Log(now, "id", request, "leaf", l.Name, "born", l.Incarnation, "service", l.Service)
 	}
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"slices"
 	"strconv"
 	"time"
 
@@ -279,16 +281,43 @@
 }
 
 // refused tells the caller that nothing was executed and when to retry: leaves that shed load have capacity again
-// soon, while unreachable leaves need the network to recover or another host.
+// soon, unless they have said for how long they want no requests, while unreachable leaves need the network to recover or
+// another host.
 func (q *query) refused(reason planner.Reason) *carrier.Reply {
 	q.unreachable = unreachable(reason)
 	wait := retryWait
 	if q.unreachable {
 		wait = startWait
 	}
+	if paused := q.resumeWait(q.answerer.clock()); paused > 0 {
+		wait = paused
+	}
 	return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: reason.String()}
 }
 
+// resumeWait returns the time after which enough shards for an answer have a leaf again that wants requests, 0 if the pauses
+// of leaves are not what is lacking.
+func (q *query) resumeWait(now time.Time) time.Duration {
+	lacking := 1
+	if n := len(q.route.Gather); n > 0 {
+		lacking = int(math.Ceil(q.route.MinCoverage * float64(n)))
+	}
+	var resumes []time.Time
+	for i := range q.shards {
+		leaves := q.holders(uint32(i))
+		if at, paused := q.answerer.selector.ResumesAt(leaves, now); paused {
+			resumes = append(resumes, at)
+		} else if len(leaves) > 0 {
+			lacking--
+		}
+	}
+	if lacking <= 0 || lacking > len(resumes) {
+		return 0
+	}
+	slices.SortFunc(resumes, time.Time.Compare)
+	return resumes[lacking-1].Sub(now)
+}
+
 // unreachable reports whether a request failed because too few leaves could be reached.
 func unreachable(reason planner.Reason) bool {
 	return reason == callerv1.Reason_REASON_COVERAGE || reason == reasonNoReplica || reason == reasonLost
--- a/leafd/provider/provider.go
+++ b/leafd/provider/provider.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	headerInstance = "Instance-Id"
 	headerLoad     = "Server-Load"
 	headerLeaving  = "Server-Leaving"
+	headerRetry    = "Retry-After"
 )
 
 // RecordCount is the number of records in the partial result of a service, RecordSize the size of a record in bytes.
@@ -40,6 +42,8 @@
 	// Shed is the fraction of requests that are refused. LoseAnswer, TruncateAnswer and ExtraAnswer are the fractions of
 	// requests that run but whose answer is lost, is truncated, or is followed by an unsolicited second answer.
 	Shed, LoseAnswer, TruncateAnswer, ExtraAnswer float64
+	// RetryAfter is the time, in whole seconds, for which a refusing leaf says that it wants no more requests; 0 says nothing.
+	RetryAfter time.Duration
 }
 
 // Config describes a leaf.
@@ -142,6 +146,9 @@
 			<-l.slots
 		}
 		w.Header().Set(headerNotRun, "1")
+		if b.RetryAfter > 0 {
+			w.Header().Set(headerRetry, strconv.Itoa(int(b.RetryAfter.Seconds())))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/lib/carrier/carrier.go
+++ b/lib/carrier/carrier.go
@@ -74,6 +74,8 @@
 	ImpliesNotRun bool
 	// AddressReassigned is true when another leaf now uses the address.
 	AddressReassigned bool
+	// RetryAfter is the time for which a refusing leaf wants no more requests from this host; 0 if it does not say so.
+	RetryAfter time.Duration
 	// Leaving is true when the leaf says that it is leaving.
 	Leaving bool
 	// Load is nil if the leaf does not report it.
--- a/lib/eventer/member.go
+++ b/lib/eventer/member.go
@@ -25,6 +25,7 @@
 	RosterSaveFailed       = define(3022, Warning, "roster of leaves cannot be saved")
 	HostCutOff             = define(3023, Warning, "this host is cut off and not ready for connections")
 	HostNoLongerCutOff     = define(3024, Info, "this host is no longer cut off")
+	LeafPaused             = define(3026, Info, "leaf wants no requests from this host for a while")
 	LeafSaysLeaving        = define(3025, Info, "leaf says in an answer that it is leaving")
 	HeartbeatContradictory = define(3019, Warning, "heartbeat contradicts the leaf's earlier ones and was ignored")
 )
--- a/lib/selector/record.go
+++ b/lib/selector/record.go
@@ -70,6 +70,8 @@
 	retryAt        time.Time
 	// leavingUntil is when the leaf's statement that it is leaving expires.
 	leavingUntil time.Time
+	// pausedUntil is the end of the time for which the leaf wants no requests.
+	pausedUntil time.Time
 	// nextColdCall is the earliest time of the next call to the leaf while it is cold.
 	nextColdCall time.Time
 }
