Carry the bytes of callers and leaves unchanged between entry hosts

Callers saw: a request with a byte that is not UTF-8 in a header field, its target or its identity lost all portions that other hosts gathered; so did a leaf's signature with such a byte.

Change: the fields are bytes; the wire format stays. The identity of a request that has ended its leaves is quoted if it is not UTF-8, so that the report of the loss can be sent.

--- a/fleetd/helper/client.go
+++ b/fleetd/helper/client.go
@@ -108,7 +108,7 @@
 			break
 		}
 		received = true
-		emit(&answerer.Parts{Stamps: m.GetStamps(), Records: m.GetRecords(), Final: m.GetLast(), NotRun: m.GetUnrun(), LostConnections: int(m.GetLost())})
+		emit(&answerer.Parts{Stamps: toStrings(m.GetStamps()), Records: m.GetRecords(), Final: m.GetLast(), NotRun: m.GetUnrun(), LostConnections: int(m.GetLost())})
 	}
 	switch {
 	case errors.Is(err, io.EOF):
@@ -160,14 +160,14 @@
 func encode(p *answerer.Portion, now time.Time) *peerv1.GatherRequest {
 	r := p.Request
 	out := &peerv1.GatherRequest{
-		Id: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Route: p.Route, Version: p.Version, Services: p.Services,
+		Id: []byte(r.ID), Method: []byte(r.Method), Host: []byte(r.Host), Target: []byte(r.Target), Route: p.Route, Version: p.Version, Services: p.Services,
 		Top: uint32(p.Top), Attempts: uint32(p.Attempts), Spare: uint32(p.MaxMissing), Asker: p.Requester, //nolint:gosec // Small and not negative.
 		Aim: durationpb.New(p.SoftDeadline.Sub(now)), Left: durationpb.New(p.Deadline.Sub(now)), Goal: durationpb.New(p.RouteTarget),
 		Body: r.Body, Key: p.Key,
 	}
 	for name, values := range r.Header {
 		for _, value := range values {
-			out.Header = append(out.Header, &peerv1.HeaderField{Name: name, Value: value})
+			out.Header = append(out.Header, &peerv1.HeaderField{Name: []byte(name), Value: []byte(value)})
 		}
 	}
 	return out
@@ -177,7 +177,7 @@
 func decode(m *peerv1.GatherRequest, now time.Time) *answerer.Portion {
 	header := make(http.Header, len(m.GetHeader()))
 	for _, f := range m.GetHeader() {
-		header.Add(f.GetName(), f.GetValue())
+		header.Add(string(f.GetName()), string(f.GetValue()))
 	}
 	return &answerer.Portion{
 		Request: callerRequest(m, header, now), Route: m.GetRoute(), RouteTarget: m.GetGoal().AsDuration(), Services: m.GetServices(), Key: m.GetKey(),
@@ -185,3 +185,20 @@
 		SoftDeadline: now.Add(m.GetAim().AsDuration()), Deadline: now.Add(m.GetLeft().AsDuration()),
 	}
 }
+
+// toStrings and toBytes convert signatures, which need not be UTF-8.
+func toStrings(in [][]byte) []string {
+	out := make([]string, 0, len(in))
+	for _, b := range in {
+		out = append(out, string(b))
+	}
+	return out
+}
+
+func toBytes(in []string) [][]byte {
+	out := make([][]byte, 0, len(in))
+	for _, s := range in {
+		out = append(out, []byte(s))
+	}
+	return out
+}
--- a/fleetd/helper/helper_test.go
+++ b/fleetd/helper/helper_test.go
@@ -21,7 +21,9 @@
 type gatherer struct {
 	portion atomic.Pointer[answerer.Portion]
 	hang    bool
-	ended   chan struct{}
+	// stamp is the signature of the first part, "x" if it is empty.
+	stamp string
+	ended chan struct{}
 }
 
 func (g *gatherer) Gather(ctx context.Context, p *answerer.Portion, emit func(*answerer.Parts)) {
@@ -31,8 +33,12 @@
 		close(g.ended)
 		return
 	}
-	emit(&answerer.Parts{Stamps: []string{"x"}, Records: []byte("0123456789abcdef")})
-	emit(&answerer.Parts{Stamps: []string{"x", "y"}, Records: []byte("0123456789abcdef"), Final: true})
+	first := g.stamp
+	if first == "" {
+		first = "x"
+	}
+	emit(&answerer.Parts{Stamps: []string{first}, Records: []byte("0123456789abcdef")})
+	emit(&answerer.Parts{Stamps: []string{first, "y"}, Records: []byte("0123456789abcdef"), Final: true})
 }
 
 // serve starts the service and returns its address.
@@ -87,6 +93,25 @@
 	qt.Assert(t, got, qt.DeepEquals, *want)
 }
 
+// Load: callers send bytes that are not UTF-8 in their header fields, targets and identities, and leaves do in their signatures.
+// Guards against a portion that is lost because its messages cannot be encoded.
+func TestBytesOfCallersAndLeavesPassUnchanged(t *testing.T) {
+	const odd = "a\xff\xfe\xc3"
+	g := &gatherer{stamp: odd}
+	host := serve(t, g, false)
+	c := helper.NewClient(time.Now)
+	awaitUsable(c, host)
+	want := portion()
+	want.Request = &carrier.Request{ID: odd, Method: "GET", Host: odd, Target: "/" + odd, Header: http.Header{"X": {odd}}, Body: []byte(odd)}
+	var stamps []string
+	err := c.Gather(context.Background(), host, want, func(p *answerer.Parts) { stamps = p.Stamps })
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, stamps, qt.DeepEquals, []string{odd, "y"})
+	got := g.portion.Load().Request
+	qt.Assert(t, got.Header, qt.DeepEquals, want.Request.Header)
+	qt.Assert(t, got.ID+got.Host+got.Target, qt.Equals, odd+odd+"/"+odd)
+}
+
 // Guards against a portion that a stopping host accepts, and against a decline that is reported as a lost host.
 func TestStoppingHostDeclines(t *testing.T) {
 	g := &gatherer{}
--- a/fleetd/helper/service.go
+++ b/fleetd/helper/service.go
@@ -42,7 +42,7 @@
 	var failed error
 	s.gatherer.Gather(out.Context(), decode(m, s.clock()), func(p *answerer.Parts) {
 		if failed == nil {
-			failed = out.Send(&peerv1.GatherResponse{Stamps: p.Stamps, Records: p.Records, Last: p.Final, Unrun: p.NotRun, Lost: uint32(p.LostConnections)}) //nolint:gosec // Small and not negative.
+			failed = out.Send(&peerv1.GatherResponse{Stamps: toBytes(p.Stamps), Records: p.Records, Last: p.Final, Unrun: p.NotRun, Lost: uint32(p.LostConnections)}) //nolint:gosec // Small and not negative.
 		}
 	})
 	return failed
@@ -51,7 +51,7 @@
 // callerRequest returns the caller's request that a portion belongs to.
 func callerRequest(m *peerv1.GatherRequest, header http.Header, now time.Time) *carrier.Request {
 	return &carrier.Request{
-		ID: m.GetId(), Method: m.GetMethod(), Host: m.GetHost(), Target: m.GetTarget(), Header: header, Body: m.GetBody(),
+		ID: string(m.GetId()), Method: string(m.GetMethod()), Host: string(m.GetHost()), Target: string(m.GetTarget()), Header: header, Body: m.GetBody(),
 		Received: now, Timeout: m.GetLeft().AsDuration(),
 	}
 }
--- a/fleetd/suspector/suspector.go
+++ b/fleetd/suspector/suspector.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -59,11 +61,19 @@
 // ReportLost records that the leaves that received a request closed their connections without an answer, and that no
 // leaf answered it.
 func (s *Suspector) ReportLost(r *carrier.Request, now time.Time) {
-	loss := s.ledger.RecordLoss(fingerprint(r), r.ID, r.Received, now)
+	loss := s.ledger.RecordLoss(fingerprint(r), lossID(r.ID), r.Received, now)
 	eventer.RequestSuspected.Log(now, "fingerprint", loss.Fingerprint, "id", r.ID, "lost", len(loss.Lost), "blocked", loss.Blocked)
 	s.report(loss, now)
 }
 
+// lossID returns the ID of a caller's request in a form that messages can carry: callers need not send UTF-8.
+func lossID(id string) string {
+	if utf8.ValidString(id) {
+		return id
+	}
+	return strconv.QuoteToASCII(id)
+}
+
 // ReportAnswered records that a leaf has answered a request.
 func (s *Suspector) ReportAnswered(r *carrier.Request, now time.Time) {
 	if s.ledger.IsEmpty() {
--- a/fleetd/suspector/suspector_test.go
+++ b/fleetd/suspector/suspector_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"lycheelift.example/fleetd/suspector"
 	"lycheelift.example/lib/carrier"
@@ -36,6 +37,30 @@
 	return out
 }
 
+// Guards against a loss that is never reported because the caller's ID is not UTF-8, and against one that counts as another.
+func TestLossOfARequestWithAnOddIDCanBeSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := suspector.New()
+		sent := make(chan *peerv1.Loss, 2)
+		go s.Run(ctx, func(_ context.Context, m *peerv1.Loss) error {
+			sent <- m
+			return nil
+		}, time.Now)
+		for _, id := range []string{"a\xff", "a\xfe"} {
+			s.ReportLost(request(id, time.Now()), time.Now())
+			time.Sleep(time.Second)
+		}
+		first, second := <-sent, <-sent
+		for _, m := range []*peerv1.Loss{first, second} {
+			_, err := proto.Marshal(m)
+			qt.Assert(t, err, qt.IsNil)
+		}
+		qt.Assert(t, second.GetLost(), qt.HasLen, 2)
+	})
+}
+
 // Load: a request crashes each leaf that executes it, and its caller sends it again to other hosts. Guards against
 // more than three attempts that reach leaves, whichever hosts receive them, and against refusing other requests as
 // well.
