Let the server close idle connections, not the drainer

Change: the drainer ends the server's wait for the next request by a read deadline in the past. The server closes the connection if it has read nothing; a request that it has read meanwhile is answered, and its deadline is taken back when it starts. The stand-in connection of the receiver's tests records the deadline in place of Close.

Evidence: TestRequestThatArrivesDuringTheCheckIsAnswered failed before (unexpected EOF) and passed 15 of 15 runs, and 3 with the race detector.

--- a/fleetd/receiver/receiver_test.go
+++ b/fleetd/receiver/receiver_test.go
@@ -25,8 +25,9 @@
 	pending, closed bool
 }
 
-func (s *fakeConn) Close() error {
-	s.closed = true
+// SetReadDeadline records that the server's wait for the next request has ended, upon which it closes the connection.
+func (s *fakeConn) SetReadDeadline(at time.Time) error {
+	s.closed = !at.IsZero()
 	return nil
 }
 
--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -40,6 +40,8 @@
 	idleSince time.Time
 	// http2 is true for HTTP/2, where the server announces the shutdown to the client (GOAWAY) before it closes.
 	http2 bool
+	// expired is true once Close has ended the wait for the next request.
+	expired bool
 }
 
 // Option configures a drainer.
@@ -80,6 +82,10 @@
 		d.lastAccepted = d.clock()
 	}
 	s.idleSince = time.Time{}
+	if s.expired {
+		s.expired = false // The request arrived just before.
+		_ = conn.SetReadDeadline(time.Time{})
+	}
 	if status == http.StateNew {
 		return
 	}
@@ -92,8 +98,12 @@
 	}
 }
 
+// expiredDeadline lies in the past.
+var expiredDeadline = time.Unix(1, 0)
+
 // Close closes HTTP/1 connections that have been idle for longer than maxIdle. A connection on which part of a request
-// has arrived stays open, whether or not this process has read any of it.
+// has arrived stays open, whether or not this process has read any of it. The server itself closes the connection, when its
+// wait for the next request expires: a request that it has read meanwhile is answered.
 func (d *Drainer) Close(now time.Time, maxIdle time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -102,8 +112,8 @@
 			continue
 		}
 		if !hasPartialRequest(conn) && d.noPendingData(underlyingConn(conn)) {
-			_ = conn.Close()
-			s.idleSince = time.Time{}
+			s.expired = true
+			_ = conn.SetReadDeadline(expiredDeadline)
 		}
 	}
 }
--- a/lib/drainer/drainer_test.go
+++ b/lib/drainer/drainer_test.go
@@ -131,6 +131,58 @@
 	qt.Assert(t, <-stopped, qt.IsNil)
 }
 
+// A request arrives and is read between the check that a connection is idle and its end. Guards against a request that has been
+// read, and may have been passed on, and whose connection is closed without an answer.
+func TestRequestThatArrivesDuringTheCheckIsAnswered(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = caller.Close() }()
+	sent := false
+	d := New(time.Now, WithPendingCheck(func(conn net.Conn) bool {
+		if sent {
+			return false
+		}
+		sent = true
+		_, err := caller.Write([]byte(request))
+		qt.Check(t, err, qt.IsNil)
+		for !hasPartialRequest(conn) {
+			time.Sleep(time.Millisecond)
+		}
+		return true
+	}))
+	server := transporter.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// The server reads on while the handler runs, and cancels the request when that fails.
+		select {
+		case <-r.Context().Done():
+			w.WriteHeader(http.StatusGatewayTimeout)
+		case <-time.After(50 * time.Millisecond):
+			w.WriteHeader(http.StatusNoContent)
+		}
+	}))
+	listener = d.Attach(server, listener)
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	reader := bufio.NewReader(caller)
+	_, err = caller.Write([]byte(request))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = status(reader)
+	qt.Assert(t, err, qt.IsNil)
+	s := &stoppingServer{drainer: d}
+	s.awaitRead(t, false)
+	d.Close(time.Now().Add(time.Minute), time.Second)
+	code, err := status(reader)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, code, qt.Equals, http.StatusNoContent)
+	s.awaitRead(t, false)
+	sent = false
+	d.Close(time.Now().Add(time.Minute), time.Second)
+	qt.Assert(t, sent, qt.IsTrue)
+	_, err = status(reader)
+	qt.Assert(t, err, qt.IsNil)
+}
+
 // Guards against a stop that waits for callers that keep HTTP/2 connections open.
 func TestStopEndsHTTP2Connections(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
