--- a/controld/replica/join.go
+++ b/controld/replica/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lycheelift.example/lib/repeater"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
@@ -13,18 +14,11 @@
 
 // maintainMembership asks the leader to add this host whenever it is not a member of the group or knows no leader.
 func (r *Replica) maintainMembership(ctx context.Context) {
-	ticker := time.NewTicker(membershipInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Every(ctx, membershipInterval, func() {
 		if !r.isMember(r.Status().Members) || r.Status().Leader == "" {
 			r.join(ctx)
 		}
-	}
+	})
 }
 
 // isMember reports whether a member set includes this host.
--- a/entryd/executor/executor.go
+++ b/entryd/executor/executor.go
@@ -16,6 +16,7 @@
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/leaser"
 	"lycheelift.example/lib/limiter"
+	"lycheelift.example/lib/repeater"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
@@ -267,21 +268,14 @@
 // Run applies the announcements of owned leaves until ctx is done, so that connections to a leaf that has moved or
 // restarted are open before the next call.
 func (e *Executor) Run(ctx context.Context) {
-	ticker := time.NewTicker(refreshInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Every(ctx, refreshInterval, func() {
 		now := e.clock()
 		for _, info := range e.leaves.All(now) {
 			if _, held := e.leases.Held(info.Name, now); held {
 				e.leaf(info).refresh(info, now)
 			}
 		}
-	}
+	})
 }
 
 // Close closes every connection.
--- a/entryd/follower/pull.go
+++ b/entryd/follower/pull.go
@@ -10,6 +10,7 @@
 
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/ranker"
+	"lycheelift.example/lib/repeater"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
@@ -54,24 +55,17 @@
 func (f *Follower) Run(ctx context.Context, s Source) {
 	f.fetchFirstVersion(ctx, s)
 	next := f.clock().Add(jitter(pullInterval))
-	ticker := time.NewTicker(seedInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Every(ctx, seedInterval, func() {
 		now := f.clock()
 		if now.Before(next) {
-			continue
+			return
 		}
 		wait, due := f.pullDue(now)
 		if due && !f.pull(ctx, s.Control) {
 			eventer.ControlUnreachable.Log(now, "age", f.Age(now))
 		}
 		next = now.Add(wait + jitter(wait/4))
-	}
+	})
 }
 
 // pullDue returns the time until the next decision and whether this host should pull from control now. The puller of a
--- a/entryd/prober/prober.go
+++ b/entryd/prober/prober.go
@@ -12,6 +12,7 @@
 	"lycheelift.example/entryd/follower"
 	"lycheelift.example/lib/detector"
 	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/repeater"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
@@ -71,14 +72,7 @@
 
 // Run probes the hosts of the cell until ctx is done.
 func (p *Prober) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Every(ctx, tickInterval, func() {
 		now := p.clock()
 		p.mu.Lock()
 		actions := p.detect.Tick(now)
@@ -90,7 +84,7 @@
 		for _, a := range actions {
 			go p.perform(ctx, a)
 		}
-	}
+	})
 }
 
 var stateEvents = map[detector.State]eventer.Event{
--- a/entryd/shipper/shipper.go
+++ b/entryd/shipper/shipper.go
@@ -10,6 +10,7 @@
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/ranker"
 	"lycheelift.example/lib/recorder"
+	"lycheelift.example/lib/repeater"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
@@ -48,16 +49,7 @@
 // Run sends batches until ctx is cancelled.
 func (s *Shipper) Run(ctx context.Context) {
 	defer close(s.done)
-	ticker := time.NewTicker(flushInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.flush(ctx)
-		}
-	}
+	repeater.Every(ctx, flushInterval, func() { s.flush(ctx) })
 }
 
 // Close sends the buffered answers and an end mark. The context of Run must have been cancelled before.
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -18,6 +18,7 @@
 	"lycheelift.example/lib/journaler"
 	"lycheelift.example/lib/peeker"
 	"lycheelift.example/lib/quarantiner"
+	"lycheelift.example/lib/repeater"
 	"lycheelift.example/lib/router"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
@@ -203,26 +204,19 @@
 
 // Run removes leaves whose heartbeats have stopped and saves the roster in a folder, until ctx ends.
 func (k *Keeper) Run(ctx context.Context, folder journaler.FileSystem) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
 	known, err := k.roster.Load(folder, k.clock())
 	if err != nil {
 		eventer.RosterLoadFailed.Log(k.clock(), "error", err.Error())
 	}
 	eventer.RosterLoaded.Log(k.clock(), "leaves", known)
 	saved := k.roster.Since(0, false).Revision
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeater.Every(ctx, sweepInterval, func() {
 		now := k.clock()
 		for _, l := range k.roster.Expire(now) {
 			eventer.LeafExpired.Log(now, "leaf", l.Name, "born", l.Born, "service", l.Service, "leaving", l.Leaving)
 		}
 		saved = k.save(folder, saved)
-	}
+	})
 }
 
 // save writes the roster if it has changed since a revision, and returns the last revision written.
--- a/lib/enroller/file.go
+++ b/lib/enroller/file.go
@@ -9,6 +9,7 @@
 	"github.com/samber/oops"
 	"google.golang.org/protobuf/proto"
 
+	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/journaler"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
@@ -80,17 +81,27 @@
 func (r *Roster) load(state *statev1.Roster, now time.Time) int {
 	count := 0
 	for _, m := range state.GetLeaves() {
-		address, err := netip.ParseAddrPort(m.GetAddress())
+		l, err := decodeEntry(m)
 		if err != nil {
+			eventer.AnnounceRejected.Log(now, "leaf", m.GetLeaf(), "error", err.Error())
 			continue
 		}
-		l := &Leaf{
-			Name: m.GetLeaf(), Born: m.GetBorn(), Sequence: m.GetSequence(), Service: m.GetService(), Address: address,
-			Center: m.GetCenter(), Slots: int(m.GetSlots()), Leaving: m.GetLeaving(), Program: m.GetProgram(),
-		}
 		if r.Put(l, now) == Changed {
 			count++
 		}
 	}
 	return count
 }
+
+// decodeEntry validates an entry of the file and returns the leaf that it describes.
+func decodeEntry(m *statev1.RosterEntry) (*Leaf, error) {
+	address, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil {
+		return nil, oops.In("enroller").Wrapf(err, "address of %s", m.GetLeaf())
+	}
+	out := &Leaf{
+		Name: m.GetLeaf(), Born: m.GetBorn(), Sequence: m.GetSequence(), Service: m.GetService(), Address: address,
+		Center: m.GetCenter(), Slots: int(m.GetSlots()), Leaving: m.GetLeaving(), Program: m.GetProgram(),
+	}
+	return out, oops.In("enroller").Wrap(out.Validate())
+}
