Let the soak send odd heartbeats, let leaves leave, and watch planned stops

Change: new faults "odd heartbeat" (five kinds, to all control hosts), "leaf that leaves and returns" (while no host is impaired) and "hanging leaf"; a request that ran and got no answer during a graceful stop is a finding. The clients no longer send a request again by themselves.

--- a/leafd/provider/announce.go
+++ b/leafd/provider/announce.go
@@ -33,6 +33,13 @@
 	return l.heartbeatUntilAcknowledged(ctx, http.MethodPut)
 }
 
+// Return starts the next incarnation of a leaf that has drained, under the same name and address.
+func (l *Leaf) Return() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startMs, l.sequence, l.draining = time.Now().UnixMilli(), 0, false
+}
+
 // Leave reports that the leaf has left, and repeats this until a control host acknowledges it. It returns the time of
 // the acknowledgement, or the zero time if ctx was cancelled first.
 func (l *Leaf) Leave(ctx context.Context) time.Time {
--- a/soaker/breaker/breaker.go
+++ b/soaker/breaker/breaker.go
@@ -20,6 +20,7 @@
 type Breaker struct {
 	deployment   *stager.Deployment
 	leaves       []*provider.Leaf
+	observer     Observer
 	leafWorkTime time.Duration
 	random       *rand.Rand
 	log          func(string)
@@ -28,9 +29,18 @@
 	active             sync.WaitGroup
 }
 
+// Observer is told of what the checks of the soak test depend on.
+type Observer interface {
+	// RecordDrained records when the drain of a leaf was acknowledged, and RecordReturned that the leaf is back.
+	RecordDrained(leaf string, at time.Time)
+	RecordReturned(leaf string)
+	// RecordStop records the time in which an entry host was stopped gracefully.
+	RecordStop(address string, from, to time.Time)
+}
+
 // New returns a breaker. leafWorkTime is the time that a leaf without faults takes for a request.
-func New(deployment *stager.Deployment, leaves []*provider.Leaf, leafWorkTime time.Duration, seed uint64, log func(string)) *Breaker {
-	return &Breaker{deployment: deployment, leaves: leaves, leafWorkTime: leafWorkTime, random: rand.New(rand.NewPCG(seed, 11)), log: log} //nolint:gosec // Faults need no secrecy.
+func New(deployment *stager.Deployment, leaves []*provider.Leaf, leafWorkTime time.Duration, observer Observer, seed uint64, log func(string)) *Breaker {
+	return &Breaker{deployment: deployment, leaves: leaves, observer: observer, leafWorkTime: leafWorkTime, random: rand.New(rand.NewPCG(seed, 11)), log: log} //nolint:gosec // Faults need no secrecy.
 }
 
 // fault is one kind of fault. apply injects it into a host or leaf, keeps it for the duration and then undoes it.
@@ -51,16 +61,22 @@
 	{"reset control", controlFault(resetConnections)},
 	{"kill all controls", killAllControls},
 	{"kill entry", entryFault(killAndRestart)},
-	{"stop entry", entryFault(stopAndRestart)},
+	{"stop entry", stopEntry},
 	{"freeze entry", entryFault(suspend)},
 	{"hang up entry", entryFault(hangUp)},
 	{"slow leaf", leafFault(func(b *provider.Behaviour) { b.WorkTime *= 20 })},
 	{"shedding leaf", leafFault(func(b *provider.Behaviour) { b.Shed = 0.5 })},
 	{"leaf that loses answers", leafFault(func(b *provider.Behaviour) { b.LoseAnswer = 0.3 })},
 	{"leaf that spoils answers", leafFault(func(b *provider.Behaviour) { b.TruncateAnswer = 0.3 })},
+	{"hanging leaf", leafFault(func(b *provider.Behaviour) { b.WorkTime = hangTime })},
+	{"odd heartbeat", sendOddHeartbeat},
+	{"leaf that leaves and returns", leaveAndReturn},
 	{"leaf with extra answers", leafFault(func(b *provider.Behaviour) { b.ExtraAnswer = 0.3 })},
 }
 
+// hangTime is the time that a hanging leaf takes: most of the timeout of a request.
+const hangTime = 1200 * time.Millisecond
+
 // Run injects faults until ctx ends, and then waits until all of them are undone.
 func (b *Breaker) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -145,6 +161,38 @@
 	return h.Restart()
 }
 
+// stopEntry stops an entry host gracefully and starts it again.
+func stopEntry(b *Breaker, index int, duration time.Duration) error {
+	return entryFault(func(h *stager.Host, duration time.Duration) error {
+		began := time.Now()
+		err := stopAndRestart(h, duration)
+		b.observer.RecordStop(h.Address, began, time.Now())
+		return err
+	})(b, index, duration)
+}
+
+// contactWindow is the time without faults after which hosts must keep to the time limits again.
+const contactWindow = 4 * time.Second
+
+// leaveAndReturn lets a leaf leave while no host is impaired, and brings its next incarnation into use later.
+func leaveAndReturn(b *Breaker, index int, duration time.Duration) error {
+	b.controlMu.Lock()
+	defer b.controlMu.Unlock()
+	b.entryMu.Lock()
+	defer b.entryMu.Unlock()
+	time.Sleep(contactWindow)
+	ctx, cancel := context.WithTimeout(context.Background(), contactWindow)
+	defer cancel()
+	l := b.leaves[index%len(b.leaves)]
+	if at := l.Drain(ctx); !at.IsZero() {
+		b.observer.RecordDrained(l.Name(), at)
+	}
+	time.Sleep(contactWindow + duration)
+	b.observer.RecordReturned(l.Name())
+	l.Return()
+	return nil
+}
+
 func suspend(h *stager.Host, duration time.Duration) error {
 	h.Signal(syscall.SIGSTOP)
 	time.Sleep(duration)
--- a/soaker/prober/prober.go
+++ b/soaker/prober/prober.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -37,12 +38,15 @@
 type Prober struct {
 	config Config
 
-	mu            sync.Mutex
-	violations    []string
-	runs          map[string]int
-	refused       map[string]bool
-	atMostOnce    map[string]bool
-	drainedAt     map[string]time.Time
+	mu         sync.Mutex
+	violations []string
+	runs       map[string]int
+	refused    map[string]bool
+	atMostOnce map[string]bool
+	drainedAt  map[string]time.Time
+	stops      []stop
+	// cut holds the requests whose connections were closed without an answer.
+	cut           map[string]cutRequest
 	answeredCount int
 	sentCount     int
 	// acknowledged is the newest acknowledged version, and documents holds every configuration sent, by version.
@@ -50,11 +54,23 @@
 	documents    map[int][]byte
 }
 
+// stop is the time in which an entry host was stopped gracefully.
+type stop struct {
+	address  string
+	from, to time.Time
+}
+
+// cutRequest is a request whose connection was closed without an answer.
+type cutRequest struct {
+	address string
+	sent    time.Time
+}
+
 // New returns a prober.
 func New(c Config) *Prober {
 	return &Prober{
 		config: c, runs: make(map[string]int), refused: make(map[string]bool), atMostOnce: make(map[string]bool),
-		drainedAt: make(map[string]time.Time), documents: make(map[int][]byte),
+		drainedAt: make(map[string]time.Time), documents: make(map[int][]byte), cut: make(map[string]cutRequest),
 	}
 }
 
@@ -99,6 +115,36 @@
 	p.drainedAt[leaf] = at
 }
 
+// RecordReturned records that a leaf that had drained is in use again.
+func (p *Prober) RecordReturned(leaf string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.drainedAt, leaf)
+}
+
+// RecordStop records the time in which an entry host was stopped gracefully.
+func (p *Prober) RecordStop(address string, from, to time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stops = append(p.stops, stop{address: address, from: from, to: to})
+}
+
+// recordCut records a request whose connection was closed without an answer.
+func (p *Prober) recordCut(id, address string, sent time.Time, err error) {
+	var network net.Error
+	if errors.As(err, &network) && network.Timeout() || errors.Is(err, context.Canceled) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[id] = cutRequest{address: address, sent: sent}
+}
+
+// duringStop reports whether a request was sent to a host while it was stopped gracefully.
+func (p *Prober) duringStop(c cutRequest) bool {
+	return slices.ContainsFunc(p.stops, func(s stop) bool { return s.address == c.address && c.sent.After(s.from) && c.sent.Before(s.to) })
+}
+
 // SendRequests sends requests over persistent connections until ctx ends. number is the caller's number and keeps its
 // request IDs unique.
 func (p *Prober) SendRequests(ctx context.Context, number int) {
@@ -132,17 +178,21 @@
 	request.Host = "n.example"
 	request.Header.Set("Request-Id", id)
 	request.Header.Set("Deadline-Ms", "1500")
+	request.Body, request.GetBody = io.NopCloser(strings.NewReader("")), nil // So that the client does not send it again by itself.
+	sent := time.Now()
 	p.mu.Lock()
 	p.sentCount++
 	p.atMostOnce[id] = method == http.MethodPost
 	p.mu.Unlock()
 	response, err := client.Do(request)
 	if err != nil {
-		return // Expected while hosts are killed and suspended; only received responses are checked.
+		p.recordCut(id, entry, sent, err) // Expected while hosts are killed and suspended.
+		return
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
+		p.recordCut(id, entry, sent, err)
 		return
 	}
 	p.checkResponse(id, path, response, body)
@@ -206,8 +256,8 @@
 	}
 }
 
-// CheckRuns looks for requests that ran more than once and requests that ran although they were refused. It must be
-// called when all requests have ended, because runs and refusals arrive in any order.
+// CheckRuns looks for requests that ran more than once, that ran although they were refused, and that ran and were cut off by
+// a host that was stopped gracefully. It must be called when all requests have ended, because runs and refusals arrive in any order.
 func (p *Prober) CheckRuns() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -215,6 +265,9 @@
 		if p.atMostOnce[id] && n > 1 {
 			p.violations = append(p.violations, fmt.Sprintf("request %s may run at most once but ran %d times", id, n))
 		}
+		if c, ok := p.cut[id]; ok && p.duringStop(c) {
+			p.violations = append(p.violations, fmt.Sprintf("request %s to %s ran and got no answer during a graceful stop", id, c.address))
+		}
 		if p.refused[id] {
 			p.violations = append(p.violations, fmt.Sprintf("request %s was refused as not executed but ran", id))
 		}
--- a/soaker/runner/runner.go
+++ b/soaker/runner/runner.go
@@ -140,14 +140,14 @@
 	go probe.SendConfigurations(loadContext, configInterval)
 	faultContext, stopFaults := context.WithTimeout(ctx, c.FaultDuration)
 	defer stopFaults()
-	go func() { // Drains one leaf permanently halfway through the run.
+	go func() { // Drains one leaf permanently halfway through the run. The breaker leaves that one alone.
 		time.Sleep(c.FaultDuration / 2)
 		drained := leaves[len(leaves)-1]
 		if acknowledged := drained.Drain(loadContext); !acknowledged.IsZero() {
 			probe.RecordDrained(drained.Name(), acknowledged)
 		}
 	}()
-	breaker.New(deployment, leaves, leafWorkTime, c.Seed, c.Log).Run(faultContext)
+	breaker.New(deployment, leaves[:len(leaves)-1], leafWorkTime, probe, c.Seed, c.Log).Run(faultContext)
 }
 
 // awaitComplete waits until a control host returns the configuration and every entry host has returned a complete
