Name the schedule of a graceful stop a schedule

Receiver.Stop and drainer.Stop read like actions. Pure renames; the tests of receiver, answerer and drainer pass.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -93,9 +93,9 @@
 	metrics  *metrics
 	gauge    *gauger.Gauger
 	suspects SuspectTracker
-	// stop returns the schedule of this host's graceful stop, nil while it is not stopping.
-	stop   func() *drainer.Stop
-	cutOff atomic.Bool
+	// stopSchedule returns the schedule of this host's graceful stop, nil while it is not stopping.
+	stopSchedule func() *drainer.Schedule
+	cutOff       atomic.Bool
 	// helper has portions of at most portionSize shards gathered by the hosts that divider chooses. It is nil if queries
 	// are not divided.
 	helper      Helper
@@ -133,9 +133,9 @@
 	return func(a *Answerer) { a.suspects = s }
 }
 
-// WithStop sets the function that returns the schedule of this host's graceful stop, nil while it is not stopping.
-func WithStop(stop func() *drainer.Stop) Option {
-	return func(a *Answerer) { a.stop = stop }
+// WithStopSchedule sets the function that returns the schedule of this host's graceful stop, nil while it is not stopping.
+func WithStopSchedule(schedule func() *drainer.Schedule) Option {
+	return func(a *Answerer) { a.stopSchedule = schedule }
 }
 
 // budgetShare keeps the extra calls below their bound, because the clocks and counts of other hosts may differ.
@@ -149,7 +149,7 @@
 		estimate: estimator.New(estimator.WithPermille(hedgePercentile), estimator.WithWindow(estimateWindow, estimateRefresh)),
 		budget:   budgeter.NewWindow(bounds.Window, budgetShare*bounds.Ratio),
 		random:   rand.Float64, metrics: newMetrics(tally.NoopScope), gauge: gauger.New(),
-		suspects: noSuspects{}, stop: func() *drainer.Stop { return nil },
+		suspects: noSuspects{}, stopSchedule: func() *drainer.Schedule { return nil },
 	}
 	for _, o := range options {
 		o(a)
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -122,7 +122,7 @@
 	if !q.deadline.After(now) {
 		return &carrier.Reply{Outcome: carrier.Refused, Reason: "the deadline has passed"}
 	}
-	if !q.answerer.stop().Admits(q.neededUntil(now), now) {
+	if !q.answerer.stopSchedule().Admits(q.neededUntil(now), now) {
 		return &carrier.Reply{Outcome: carrier.Refused, Reason: "this host stops before the request may have ended"}
 	}
 	if a := q.answerer; a.cutOff.Load() && a.lacksCoverage(q.view, route) {
--- a/fleetd/answerer/stop_test.go
+++ b/fleetd/answerer/stop_test.go
@@ -13,10 +13,10 @@
 )
 
 // newStopping returns an answerer of a host that stops.
-func newStopping(f *fleet, s *drainer.Stop) *answerer.Answerer {
+func newStopping(f *fleet, s *drainer.Schedule) *answerer.Answerer {
 	bounds := answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
 	return answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithRandom(func() float64 { return 0 }),
-		answerer.WithStop(func() *drainer.Stop { return s }))
+		answerer.WithStopSchedule(func() *drainer.Schedule { return s }))
 }
 
 // Load: a planned stop of one host, on which requests still arrive late in the grace time. Guards against taking a request
@@ -35,7 +35,7 @@
 		inBubble(t, func(t *testing.T) {
 			f := newFleet(1)
 			now := time.Now()
-			reply, _ := ask(newStopping(f, &drainer.Stop{Noticed: now, End: now.Add(c.left)}), c.path)
+			reply, _ := ask(newStopping(f, &drainer.Schedule{Noticed: now, End: now.Add(c.left)}), c.path)
 			if c.taken {
 				qt.Assert(t, f.called() > 0, qt.IsTrue, qt.Commentf(c.path))
 				return
--- a/fleetd/receiver/receiver.go
+++ b/fleetd/receiver/receiver.go
@@ -45,7 +45,7 @@
 	conns  *drainer.Drainer
 	notice time.Duration
 	// schedule is nil until the receiver stops.
-	schedule atomic.Pointer[drainer.Stop]
+	schedule atomic.Pointer[drainer.Schedule]
 }
 
 // Option configures a Receiver.
@@ -75,8 +75,8 @@
 	return r.schedule.Load() != nil
 }
 
-// Stop returns the schedule of the graceful stop, nil while the receiver is not stopping.
-func (r *Receiver) Stop() *drainer.Stop {
+// Schedule returns the schedule of the graceful stop, nil while the receiver is not stopping.
+func (r *Receiver) Schedule() *drainer.Schedule {
 	return r.schedule.Load()
 }
 
@@ -121,7 +121,7 @@
 // are closed.
 func (r *Receiver) stop(server *http.Server, cancelRequests context.CancelCauseFunc) error {
 	began := r.clock()
-	schedule := &drainer.Stop{Noticed: began.Add(r.notice), End: began.Add(r.grace - shutdownReserve)}
+	schedule := &drainer.Schedule{Noticed: began.Add(r.notice), End: began.Add(r.grace - shutdownReserve)}
 	r.schedule.Store(schedule)
 	if !r.awaitDrained(schedule, schedule.End) {
 		cancelRequests(drainer.ErrStopping)
@@ -137,7 +137,7 @@
 }
 
 // awaitDrained waits until no connection remains. It reports false if there still are some at the given time.
-func (r *Receiver) awaitDrained(s *drainer.Stop, end time.Time) bool {
+func (r *Receiver) awaitDrained(s *drainer.Schedule, end time.Time) bool {
 	for now := r.clock(); now.Before(end); now = r.clock() {
 		if r.drained(s, now) {
 			return true
@@ -149,7 +149,7 @@
 
 // drained closes connections without a request once the load balancer has had time to detect the stop. It reports
 // whether no connection remains and none has been accepted recently.
-func (r *Receiver) drained(s *drainer.Stop, now time.Time) bool {
+func (r *Receiver) drained(s *drainer.Schedule, now time.Time) bool {
 	return !now.Before(s.Noticed) && r.conns.Drain(now)
 }
 
--- a/fleetd/receiver/receiver_test.go
+++ b/fleetd/receiver/receiver_test.go
@@ -44,8 +44,8 @@
 }
 
 // stopAt returns the schedule of a stop that has begun at a given time.
-func stopAt(began time.Time) *drainer.Stop {
-	return &drainer.Stop{Noticed: began.Add(noticeTime), End: began.Add(time.Minute)}
+func stopAt(began time.Time) *drainer.Schedule {
+	return &drainer.Schedule{Noticed: began.Add(noticeTime), End: began.Add(time.Minute)}
 }
 
 // Load: a planned stop of a busy host, whose process reads requests milliseconds after they have arrived. Guards
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -53,7 +53,7 @@
 	helperClient := helper.NewClient(clock)
 	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
-	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStop(requestReceiver.Stop),
+	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStopSchedule(requestReceiver.Schedule),
 		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient))
 	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
 		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
@@ -79,7 +79,7 @@
 		eventer.Draining.Log(clock(), "host", s.Name)
 	}()
 	err := requestReceiver.Run(ctx, s.Listen.Callers, platform.NewIngress(queryAnswerer, limits, closing, clock))
-	finishPortions(peers, requestReceiver.Stop(), clock())
+	finishPortions(peers, requestReceiver.Schedule(), clock())
 	eventer.Stopped.Log(clock(), "host", s.Name)
 	return err
 }
@@ -104,7 +104,7 @@
 }
 
 // finishPortions waits until the portions in progress have ended, or until the end of the graceful stop.
-func finishPortions(peers *grpc.Server, stop *drainer.Stop, now time.Time) {
+func finishPortions(peers *grpc.Server, stop *drainer.Schedule, now time.Time) {
 	if stop == nil {
 		return
 	}
