--- a/lib/enroller/file.go
+++ b/lib/enroller/file.go
@@ -103,5 +103,8 @@
 		Name: m.GetLeaf(), Born: m.GetBorn(), Sequence: m.GetSequence(), Service: m.GetService(), Address: address,
 		Center: m.GetCenter(), Slots: int(m.GetSlots()), Leaving: m.GetLeaving(), Program: m.GetProgram(),
 	}
-	return out, oops.In("enroller").Wrap(out.Validate())
+	if err := out.Validate(); err != nil {
+		return nil, oops.In("enroller").Wrap(err)
+	}
+	return out, nil
 }
--- a/lib/enroller/wire.go
+++ b/lib/enroller/wire.go
@@ -33,5 +33,8 @@
 		Center: m.GetCenter(), Slots: int(m.GetSlots()), Leaving: m.GetLeaving(), Program: m.GetProgram(),
 		ColdUntil: now.Add(m.GetCold().AsDuration()),
 	}
-	return out, oops.In("enroller").Wrap(out.Validate())
+	if err := out.Validate(); err != nil {
+		return nil, oops.In("enroller").Wrap(err)
+	}
+	return out, nil
 }
--- a/soaker/breaker/breaker.go
+++ b/soaker/breaker/breaker.go
@@ -36,6 +36,8 @@
 	RecordReturned(leaf string)
 	// RecordStop records the time in which an entry host was stopped gracefully.
 	RecordStop(address string, from, to time.Time)
+	// RecordAccepted records that a control host accepted a heartbeat that names no leaf.
+	RecordAccepted(control, leaf string)
 }
 
 // New returns a breaker. leafWorkTime is the time that a leaf without faults takes for a request.
--- a/soaker/prober/prober.go
+++ b/soaker/prober/prober.go
@@ -129,6 +129,11 @@
 	p.stops = append(p.stops, stop{address: address, from: from, to: to})
 }
 
+// RecordAccepted records that a control host accepted a heartbeat that names no leaf.
+func (p *Prober) RecordAccepted(control, leaf string) {
+	p.addViolation("control host %s accepted an odd heartbeat of %q", control, leaf)
+}
+
 // recordCut records a request whose connection was closed without an answer.
 func (p *Prober) recordCut(id, address string, sent time.Time, err error) {
 	var network net.Error
