--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -22,6 +22,7 @@
 	"evacuation": evacuation,
 	"cold":       cold,
 	"poison":     poison,
+	"foreign":    foreign,
 }
 
 func main() {
