--- a/review/standin2/evacuation.go
+++ b/review/standin2/evacuation.go
@@ -17,6 +17,9 @@
 	orderTime      = 10 * time.Second
 	// freezeTime is how long the entry host stands still, as node_freeze of the site file.
 	freezeTime = 4 * time.Second
+	// silenceTime is how long after the freeze the zone is evacuated: the control host has then ended the stream of the frozen
+	// host, which finds no order in its receive buffer when it wakes.
+	silenceTime = 2200 * time.Millisecond
 	// observeTime is how long requests are sent after the entry host counts as in touch again.
 	observeTime = 8 * time.Second
 	// snapshotLine is the log event of a control host that has taken a snapshot of its log.
@@ -122,7 +125,7 @@
 		d.signal(entry, syscall.SIGSTOP)
 	}
 	frozen := time.Now()
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(silenceTime)
 	if err := o.order(http.MethodPost, "/evacuation/"+evacuated.zone, nil, orderTime); err != nil {
 		return err
 	}
