Decode tenants, public routes and the bounds of quotas, revocation and roll-outs

Cause: the configuration of two new deployments holds tenants with keys and quotas, which the decoder dropped: keys were passed on to leaves. Change: the document holds tenants with digests of their keys; two tenants that share a key make it invalid. The settings take the bounds that the platform gives. Result: tests of platform, lib/router and lib/checker pass.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -257,5 +257,6 @@
 
 var outcomeNames = map[carrier.Outcome]string{
 	carrier.Answered: "answered", carrier.Gathered: "gathered", carrier.Refused: "refused", carrier.Unrouted: "unrouted",
-	carrier.Failed: "failed", carrier.TimedOut: "timedout", carrier.Abandoned: "abandoned",
+	carrier.Failed: "failed", carrier.TimedOut: "timedout", carrier.Abandoned: "abandoned", carrier.Unauthorized: "unauthorized",
+	carrier.OverQuota: "overquota",
 }
--- a/lib/carrier/carrier.go
+++ b/lib/carrier/carrier.go
@@ -24,6 +24,10 @@
 	Received time.Time
 	// Timeout is how long the caller waits after Received; 0 if the caller did not specify it.
 	Timeout time.Duration
+	// Key is the API key that the caller sent; empty without one. It is never sent to leaves or hosts and never logged.
+	Key string
+	// Tenant is the name of the tenant that holds the key; empty if the request has none. It is sent to leaves.
+	Tenant string
 }
 
 // Call is one request to one leaf.
@@ -105,6 +109,10 @@
 	TimedOut
 	// Abandoned means that the caller has disconnected or cancelled the request.
 	Abandoned
+	// Unauthorized means that the request needs a key and has none that the configuration holds.
+	Unauthorized
+	// OverQuota means that the request exceeds the quota of its tenant. It has not run and never will.
+	OverQuota
 )
 
 // Reply is the response to the caller.
--- a/lib/router/document.go
+++ b/lib/router/document.go
@@ -14,6 +14,9 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Authenticated is true when requests need the key of one of the Tenants, except on public routes.
+	Authenticated bool
+	Tenants       []Tenant
 }
 
 // Route defines the destination of the requests for a host and a path prefix.
@@ -40,6 +43,8 @@
 	Top int
 	// MinCoverage is the minimum coverage of a gathered answer: the fraction of shards that it must include, from 0 to 1.
 	MinCoverage float64
+	// Public permits requests without a key.
+	Public bool
 }
 
 // Share is one service of a split and its weight.
@@ -92,6 +97,7 @@
 		}
 		services[s.Name] = true
 	}
+	faults = append(faults, checkTenants(d.Tenants)...)
 	seen := make(map[routeKey]string, len(d.Routes))
 	for i := range d.Routes {
 		r := &d.Routes[i]
--- a/lib/router/table.go
+++ b/lib/router/table.go
@@ -18,6 +18,7 @@
 	// hosts holds the routes of each host, longest prefix first.
 	hosts    map[string][]*Route
 	services map[string]*Service
+	tenants  map[Digest]*Tenant
 }
 
 // NewTable returns the table of a document that has passed Check.
@@ -34,9 +35,24 @@
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
+	t.tenants = make(map[Digest]*Tenant)
+	for i := range d.Tenants {
+		for _, key := range d.Tenants[i].Keys {
+			t.tenants[key] = &d.Tenants[i]
+		}
+	}
 	return t
 }
 
+// Tenant returns the tenant that holds an API key.
+func (t *Table) Tenant(key string) (*Tenant, bool) {
+	if key == "" {
+		return nil, false
+	}
+	tenant, ok := t.tenants[NewDigest(key)]
+	return tenant, ok
+}
+
 // Version returns the document's version.
 func (t *Table) Version() uint64 {
 	return t.document.Version
--- a/schema/gen/settings/fleetd/fleetd.go
+++ b/schema/gen/settings/fleetd/fleetd.go
@@ -66,15 +66,44 @@
 	// Time after which a leaving backend server gets nothing more.
 	Drain string `json:"drain,omitempty,omitzero"`
 
+	// Part of the requests to a service that may reach the new version during a
+	// roll-out before it is known to be good; 0 when roll-outs are not bounded.
+	Exposure float64 `json:"exposure,omitempty,omitzero"`
+
+	// Further requests that may reach the new version during a roll-out.
+	Exposureslack float64 `json:"exposureslack,omitempty,omitzero"`
+
 	// Time between the signal to stop and the end of the process by force.
 	Grace string `json:"grace,omitempty,omitzero"`
 
+	// Part of its quota by which a tenant may exceed it in one window.
+	Quotaover float64 `json:"quotaover,omitempty,omitzero"`
+
+	// Further requests by which a tenant may exceed its quota in one window.
+	Quotaslack float64 `json:"quotaslack,omitempty,omitzero"`
+
+	// Window in which the requests of a tenant are counted against its quota; 0s when
+	// quotas are not bounded.
+	Quotawindow string `json:"quotawindow,omitempty,omitzero"`
+
 	// Extra calls of a service for each of its requests.
 	Ratio float64 `json:"ratio,omitempty,omitzero"`
 
+	// Time after the acknowledgement of a configuration after which the keys that it
+	// removed are refused.
+	Revoke string `json:"revoke,omitempty,omitzero"`
+
+	// Time after the 50th bad answer of a new version after which it gets nothing
+	// more.
+	Rollback string `json:"rollback,omitempty,omitzero"`
+
 	// Further extra calls of a service in one window, over all hosts.
 	Slack float64 `json:"slack,omitempty,omitzero"`
 
+	// A key that has been removed from the configuration opens nothing on any host
+	// after the time of revoke, even without contact to control hosts.
+	Strict bool `json:"strict,omitempty,omitzero"`
+
 	// Window in which extra calls are counted.
 	Window string `json:"window,omitempty,omitzero"`
 }
@@ -114,12 +143,54 @@
 	if matched, _ := regexp.MatchString(`^[0-9]+(\.[0-9]+)?(ms|s)$`, string(plain.Drain)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "Drain", `^[0-9]+(\.[0-9]+)?(ms|s)$`)
 	}
+	if v, ok := raw["exposure"]; !ok || v == nil {
+		plain.Exposure = 0.0
+	}
+	if 1 < plain.Exposure {
+		return fmt.Errorf("field %s: must be <= %v", "exposure", 1)
+	}
+	if 0 > plain.Exposure {
+		return fmt.Errorf("field %s: must be >= %v", "exposure", 0)
+	}
+	if v, ok := raw["exposureslack"]; !ok || v == nil {
+		plain.Exposureslack = 0.0
+	}
+	if 1e+09 < plain.Exposureslack {
+		return fmt.Errorf("field %s: must be <= %v", "exposureslack", 1e+09)
+	}
+	if 0 > plain.Exposureslack {
+		return fmt.Errorf("field %s: must be >= %v", "exposureslack", 0)
+	}
 	if v, ok := raw["grace"]; !ok || v == nil {
 		plain.Grace = "6s"
 	}
 	if matched, _ := regexp.MatchString(`^[0-9]+(\.[0-9]+)?(ms|s)$`, string(plain.Grace)); !matched {
 		return fmt.Errorf("field %s pattern match: must match %s", "Grace", `^[0-9]+(\.[0-9]+)?(ms|s)$`)
 	}
+	if v, ok := raw["quotaover"]; !ok || v == nil {
+		plain.Quotaover = 0.0
+	}
+	if 100 < plain.Quotaover {
+		return fmt.Errorf("field %s: must be <= %v", "quotaover", 100)
+	}
+	if 0 > plain.Quotaover {
+		return fmt.Errorf("field %s: must be >= %v", "quotaover", 0)
+	}
+	if v, ok := raw["quotaslack"]; !ok || v == nil {
+		plain.Quotaslack = 0.0
+	}
+	if 1e+09 < plain.Quotaslack {
+		return fmt.Errorf("field %s: must be <= %v", "quotaslack", 1e+09)
+	}
+	if 0 > plain.Quotaslack {
+		return fmt.Errorf("field %s: must be >= %v", "quotaslack", 0)
+	}
+	if v, ok := raw["quotawindow"]; !ok || v == nil {
+		plain.Quotawindow = "0s"
+	}
+	if matched, _ := regexp.MatchString(`^[0-9]+(\.[0-9]+)?(ms|s)$`, string(plain.Quotawindow)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "Quotawindow", `^[0-9]+(\.[0-9]+)?(ms|s)$`)
+	}
 	if v, ok := raw["ratio"]; !ok || v == nil {
 		plain.Ratio = 0.2
 	}
@@ -129,6 +200,18 @@
 	if 0 > plain.Ratio {
 		return fmt.Errorf("field %s: must be >= %v", "ratio", 0)
 	}
+	if v, ok := raw["revoke"]; !ok || v == nil {
+		plain.Revoke = "5s"
+	}
+	if matched, _ := regexp.MatchString(`^[0-9]+(\.[0-9]+)?(ms|s)$`, string(plain.Revoke)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "Revoke", `^[0-9]+(\.[0-9]+)?(ms|s)$`)
+	}
+	if v, ok := raw["rollback"]; !ok || v == nil {
+		plain.Rollback = "5s"
+	}
+	if matched, _ := regexp.MatchString(`^[0-9]+(\.[0-9]+)?(ms|s)$`, string(plain.Rollback)); !matched {
+		return fmt.Errorf("field %s pattern match: must match %s", "Rollback", `^[0-9]+(\.[0-9]+)?(ms|s)$`)
+	}
 	if v, ok := raw["slack"]; !ok || v == nil {
 		plain.Slack = 0.0
 	}
@@ -138,6 +221,9 @@
 	if 0 > plain.Slack {
 		return fmt.Errorf("field %s: must be >= %v", "slack", 0)
 	}
+	if v, ok := raw["strict"]; !ok || v == nil {
+		plain.Strict = false
+	}
 	if v, ok := raw["window"]; !ok || v == nil {
 		plain.Window = "10s"
 	}
