Reconnect sooner to control hosts that come back after a loss of power

Cause: after all machines lose power, entry hosts know the seeds only. Change: further attempts are started beside one that is not answered (lib/connector); a leader tries a lost host again at least every 100 ms; a control host tells its followers within 20 ms that it has heard a leader.

--- a/controld/replica/dialer.go
+++ b/controld/replica/dialer.go
@@ -31,8 +31,9 @@
 )
 
 // reconnectBackoff bounds the wait before a new attempt to connect. gRPC's default grows to two minutes, for which a
-// restarted host would stay out of the group.
-var reconnectBackoff = backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond}
+// restarted host would stay out of the group. A leader that waits longer than a heartbeat before it connects to a restarted
+// host delays everything that needs the host, such as the entry hosts that know no other one.
+var reconnectBackoff = backoff.Config{BaseDelay: 25 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 100 * time.Millisecond}
 
 type connection struct {
 	address  string
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -17,8 +17,12 @@
 // batchDelay is how long changes are collected before they are sent in one message.
 const batchDelay = 5 * time.Millisecond
 
-// checkInterval is the time between checks that this host is still in contact with a leader.
-const checkInterval = 100 * time.Millisecond
+const (
+	// checkInterval is the time between checks that this host is still in contact with a leader.
+	checkInterval = 100 * time.Millisecond
+	// leaderlessInterval replaces checkInterval while it is not: entry hosts that have just started accept no state before.
+	leaderlessInterval = 20 * time.Millisecond
+)
 
 // Service is the gRPC service for the hosts that follow a keeper.
 type Service struct {
@@ -64,8 +68,8 @@
 		eventer.FollowerLeft.Log(k.clock(), "host", request.GetHost())
 	}()
 	f := &stream{keeper: k, request: request, version: request.GetVersion(), departed: make(map[string]uint64)}
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(checkInterval)
+	defer timer.Stop()
 	for {
 		view, batch := k.store.View(), k.roster.Since(f.revision, request.GetControl())
 		if m := f.next(view, batch, k.clock()); m != nil {
@@ -73,6 +77,7 @@
 				return oops.In("keeper").Wrapf(err, "send")
 			}
 		}
+		timer.Reset(f.nextCheck())
 		select {
 		case <-out.Context().Done():
 			return nil
@@ -82,11 +87,19 @@
 			time.Sleep(batchDelay)
 		case <-batch.Changed:
 			time.Sleep(batchDelay)
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
 
+// nextCheck returns the time until the next check for changes that no channel announces.
+func (f *stream) nextCheck() time.Duration {
+	if f.settled {
+		return checkInterval
+	}
+	return leaderlessInterval
+}
+
 // next returns the next message for the follower, or nil if there is nothing to send.
 func (f *stream) next(view store.View, batch enroller.Batch, now time.Time) *peerv1.FollowResponse {
 	m := &peerv1.FollowResponse{Index: view.Index, Settled: f.keeper.Settled(now), Alone: f.keeper.isolated(now)}
--- a/fleetd/linker/linker.go
+++ b/fleetd/linker/linker.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
+	"lycheelift.example/lib/connector"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
@@ -20,8 +21,10 @@
 	KeepaliveInterval = 400 * time.Millisecond
 	// SilenceTimeout is the time without a message after which a stream is closed: three keepalive messages may be late or lost.
 	SilenceTimeout = 1500 * time.Millisecond
-	// dialTimeout bounds one attempt to open a connection.
-	dialTimeout = 300 * time.Millisecond
+	// dialTimeout bounds the time to open a connection, and dialInterval is the time after which a further attempt is started.
+	// Between regions a connection takes some 20 ms.
+	dialTimeout  = 300 * time.Millisecond
+	dialInterval = 60 * time.Millisecond
 	// windowBytes is the flow control window of a stream and of its connection.
 	windowBytes = 64 << 10
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
@@ -68,10 +71,15 @@
 // could not tell whether it was processed.
 var tcpKeepalive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
-// dialContext opens a connection. A host without power does not answer, and TCP retransmits the first packet only after a
-// second, so the attempt is cut short.
+// hosts opens connections to other hosts. A host without power does not answer, and TCP retransmits the first packet only
+// after a second, so further attempts are started and all are given up soon.
+var hosts = connector.New(func(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{KeepAliveConfig: tcpKeepalive}).DialContext(ctx, "tcp", address)
+}, dialInterval, dialTimeout)
+
 func dialContext(ctx context.Context, address string) (net.Conn, error) {
-	return (&net.Dialer{Timeout: dialTimeout, KeepAliveConfig: tcpKeepalive}).DialContext(ctx, "tcp", address)
+	conn, err := hosts.Dial(ctx, address)
+	return conn, oops.In("linker").Wrapf(err, "connect to %s", address)
 }
 
 // Follow opens a stream to a control host and passes each message to receive, until the stream ends, goes silent or
