fleetd: strict revocation of keys

Cause: a host without contact to the control hosts kept accepting keys that had been removed. Change: with bounds.strict an entry host asks the followed control host by the RPC Confirm, on one kept connection, every tenth of bounds.revoke. The control host answers with the version and the index of its state after a linearizable read; one read runs at a time, and a call joins only a read that begins after its arrival. While the state is not confirmed, requests with a key are refused, the host is not ready and closes kept connections, if some route needs a key. The confirmation is checked before the view is taken. Events 3030 and 3031, metrics confirmed, confirmation_age_seconds and confirm_calls.

--- a/controld/store/depart.go
+++ b/controld/store/depart.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/samber/oops"
+
 	"lycheelift.example/lib/eventer"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
@@ -51,6 +53,14 @@
 	Changed <-chan struct{}
 }
 
+// ConfirmedView returns a local state that includes every change that was acknowledged before the call.
+func (s *Store) ConfirmedView(ctx context.Context) (View, error) {
+	if err := s.log.Barrier(ctx); err != nil {
+		return View{}, oops.In("store").Wrapf(err, "read the newest state")
+	}
+	return s.View(), nil
+}
+
 // View returns the local state. It works without a majority.
 func (s *Store) View() View {
 	s.machine.mu.RLock()
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -47,8 +47,10 @@
 	// controls are the control hosts listed in the last message that had a list.
 	controls []control
 	home     homeBackoff
-	// followed is the address of the control host followed last, empty before the first.
-	followed string
+	// followed is the address of the control host followed last, empty before the first. refollowed is closed and replaced
+	// whenever a control host is followed, be it the same one.
+	followed   string
+	refollowed chan struct{}
 }
 
 type control struct {
@@ -58,7 +60,7 @@
 // NewClient returns a client that passes the messages of control hosts to a follower. address is where this host gathers
 // portions of other hosts' queries, empty if it does not; seeds returns addresses of control hosts.
 func NewClient(f *Follower, host, center, address string, seeds func() []string, clock func() time.Time) *Client {
-	return &Client{follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock, home: newHomeBackoff(host)}
+	return &Client{follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock, home: newHomeBackoff(host), refollowed: make(chan struct{})}
 }
 
 // Run follows control hosts until ctx ends.
@@ -223,6 +225,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.followed = address
+	close(c.refollowed)
+	c.refollowed = make(chan struct{})
+}
+
+// Followed returns the address of the control host followed last, empty before the first, and a channel that is closed when
+// a control host is followed next.
+func (c *Client) Followed() (string, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.followed, c.refollowed
 }
 
 var errNeverFollowed = errors.New("no control host has been followed yet")
--- /dev/null
+++ b/fleetd/keeper/confirm.go
@@ -0,0 +1,84 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+// Confirm returns the position of a state that includes everything acknowledged before the call arrived.
+func (s *Service) Confirm(ctx context.Context, _ *peerv1.ConfirmRequest) (*peerv1.ConfirmResponse, error) {
+	out, err := s.keeper.reads.join(ctx, s.keeper.confirm)
+	if err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return out, nil
+}
+
+// confirm reads the newest state.
+func (k *Keeper) confirm() (*peerv1.ConfirmResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), decisionTimeout)
+	defer cancel()
+	view, err := k.store.ConfirmedView(ctx)
+	if err != nil {
+		return nil, wrapUndecided(err)
+	}
+	return &peerv1.ConfirmResponse{Index: view.Index, Version: view.Document.GetVersion()}, nil
+}
+
+// sharedReads runs one linearizable read at a time for all calls that wait. A call joins only a read that begins after its
+// arrival, because one in progress may miss what was acknowledged since it began. The zero value is ready for use.
+type sharedReads struct {
+	mu sync.Mutex
+	// next is the read that begins when the running one ends; nil if no call waits for it.
+	next    *sharedRead
+	running bool
+}
+
+// sharedRead is one read. Its results may be used once done is closed.
+type sharedRead struct {
+	done   chan struct{}
+	result *peerv1.ConfirmResponse
+	err    error
+}
+
+// join waits for the result of a read that begins after the call.
+func (r *sharedReads) join(ctx context.Context, read func() (*peerv1.ConfirmResponse, error)) (*peerv1.ConfirmResponse, error) {
+	r.mu.Lock()
+	if r.next == nil {
+		r.next = &sharedRead{done: make(chan struct{})}
+	}
+	joined := r.next
+	if !r.running {
+		r.running = true
+		go r.run(read)
+	}
+	r.mu.Unlock()
+	select {
+	case <-joined.done:
+		return joined.result, joined.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// run runs reads until no call waits.
+func (r *sharedReads) run(read func() (*peerv1.ConfirmResponse, error)) {
+	for {
+		r.mu.Lock()
+		current := r.next
+		r.next = nil
+		if current == nil {
+			r.running = false
+			r.mu.Unlock()
+			return
+		}
+		r.mu.Unlock()
+		current.result, current.err = read()
+		close(current.done)
+	}
+}
--- /dev/null
+++ b/fleetd/keeper/confirm_test.go
@@ -0,0 +1,59 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+// Load: many followers confirm their state while reads take long. Guards against a call that is answered by a read that
+// began before the call arrived, against more than one read at a time, and against calls that wait for a failed read.
+func TestCallJoinsOnlyALaterRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var r sharedReads
+		var mu sync.Mutex
+		began, running := 0, 0
+		read := func() (*peerv1.ConfirmResponse, error) {
+			mu.Lock()
+			began++
+			running++
+			index := uint64(began)
+			qt.Check(t, running, qt.Equals, 1)
+			mu.Unlock()
+			time.Sleep(10 * time.Millisecond)
+			mu.Lock()
+			defer mu.Unlock()
+			running--
+			if index == 2 {
+				return nil, errors.New("no majority")
+			}
+			return &peerv1.ConfirmResponse{Index: index}, nil
+		}
+		var calls sync.WaitGroup
+		for i := range 40 {
+			calls.Go(func() {
+				time.Sleep(time.Duration(i)*time.Millisecond + time.Microsecond)
+				mu.Lock()
+				before := uint64(began)
+				mu.Unlock()
+				out, err := r.join(context.Background(), read)
+				qt.Check(t, err != nil || out.GetIndex() > before, qt.IsTrue)
+			})
+		}
+		calls.Wait()
+		qt.Assert(t, began <= 6, qt.IsTrue)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := r.join(ctx, read)
+		qt.Assert(t, err, qt.ErrorIs, context.Canceled)
+		synctest.Wait()
+		time.Sleep(time.Second)
+	})
+}
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -51,7 +51,9 @@
 	roster *enroller.Roster
 	// losses tracks requests that are suspected of crashing the leaves that run them.
 	losses *quarantiner.Ledger
-	clock  func() time.Time
+	// reads serves the calls by which followers confirm their state.
+	reads sharedReads
+	clock func() time.Time
 
 	mu sync.Mutex
 	// followers counts the entry hosts that follow this host. peers holds the state of the other control hosts, by address.
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -6,9 +6,11 @@
 	"time"
 
 	"github.com/samber/oops"
+	tally "github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
 	"lycheelift.example/fleetd/answerer"
+	"lycheelift.example/fleetd/confirmer"
 	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/fleetd/helper"
@@ -51,16 +53,17 @@
 	requestReceiver := receiver.New(func() time.Duration { return limits().IdleTimeout }, s.grace, clock)
 	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
 	helperClient := helper.NewClient(clock)
+	confirmed, serves := confirmations(running, s, viewFollower, client, metrics.Scope, clock)
 	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
 	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStopSchedule(requestReceiver.Schedule),
-		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient))
+		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient), answerer.WithConfirmation(confirmed))
 	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
 		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
 	ready := func() bool {
-		return !requestReceiver.Stopping() && viewFollower.View().Table != nil && !queryAnswerer.CutOff(clock())
+		return !requestReceiver.Stopping() && viewFollower.View().Table != nil && !queryAnswerer.CutOff(clock()) && serves()
 	}
-	closing := func() bool { return requestReceiver.Stopping() || queryAnswerer.CutOff(clock()) }
+	closing := func() bool { return requestReceiver.Stopping() || queryAnswerer.CutOff(clock()) || !serves() }
 	go func() {
 		if err := serve(running, s.Listen.Ready, platform.Ready(ready)); err != nil {
 			eventer.ServeFailed.Log(clock(), "address", s.Listen.Ready, "error", err.Error())
@@ -84,6 +87,22 @@
 	return err
 }
 
+// confirmations keeps the state of this host confirmed if the settings require it. It returns functions that report whether
+// the state may be relied on for keys, and whether this host can serve all routes.
+func confirmations(ctx context.Context, s *Settings, f *follower.Follower, c *follower.Client, scope tally.Scope, clock func() time.Time) (confirmed, serves func() bool) {
+	if s.revoke == 0 {
+		always := func() bool { return true }
+		return always, always
+	}
+	control := &linker.Confirmer{}
+	hostConfirmer := confirmer.New(s.revoke, f, c, control, clock, confirmer.WithScope(scope))
+	go func() {
+		defer control.Close()
+		hostConfirmer.Run(ctx)
+	}()
+	return hostConfirmer.Confirmed, hostConfirmer.Serves
+}
+
 // newPeers returns the server of the portions that this host gathers for other entry hosts.
 func newPeers(service *helper.Service) *grpc.Server {
 	_, options := linker.Options()
--- a/fleetd/server/server.go
+++ b/fleetd/server/server.go
@@ -31,10 +31,16 @@
 	bind   string
 	grace  time.Duration
 	window time.Duration
+	// revoke is the time after which removed keys must open nothing on any host, 0 if that is not required.
+	revoke time.Duration
 	// tolerance is the number of control hosts that may fail at the same time.
 	tolerance int
 }
 
+// minRevoke is the shortest time in which removed keys can be refused everywhere: a confirmation takes a few round trips
+// between control hosts, and ten are due in that time.
+const minRevoke = 100 * time.Millisecond
+
 // minWindow is the shortest window over which extra calls can be counted.
 const minWindow = 10 * time.Millisecond
 
@@ -70,6 +76,14 @@
 	if s.window < minWindow {
 		fail("bounds.window", fmt.Errorf("%s is shorter than %s", s.window, minWindow))
 	}
+	revoke, err := time.ParseDuration(in.Bounds.Revoke)
+	fail("bounds.revoke", err)
+	if in.Bounds.Strict {
+		s.revoke = revoke
+		if revoke < minRevoke {
+			fail("bounds.revoke", fmt.Errorf("%s is shorter than %s", revoke, minRevoke))
+		}
+	}
 	s.tolerance = int(math.Ceil(in.Tolerance))
 	if len(faults) > 0 {
 		return nil, errors.Join(append([]error{ErrSettings}, faults...)...)
