--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -51,7 +51,9 @@
 	roster *enroller.Roster
 	// losses tracks requests that are suspected of crashing the leaves that run them.
 	losses *quarantiner.Ledger
-	clock  func() time.Time
+	// reads serves the calls by which followers confirm their state.
+	reads sharedReads
+	clock func() time.Time
 
 	mu sync.Mutex
 	// followers counts the entry hosts that follow this host. peers holds the state of the other control hosts, by address.
@@ -72,11 +74,15 @@
 
 // New returns a keeper. controlAddress is where this host serves leaves and operators, and peerAddress where it serves
 // other hosts.
-func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time) *Keeper {
-	return &Keeper{
+func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time, options ...Option) *Keeper {
+	k := &Keeper{
 		host: host, center: center, controlAddress: controlAddress, peerAddress: peerAddress, store: s, log: log, clock: clock,
 		roster: enroller.New(), losses: quarantiner.NewLedger(), peers: make(map[string]peerStatus), streams: make(map[follower]int),
 	}
+	for _, o := range options {
+		o(k)
+	}
+	return k
 }
 
 // Settled reports whether this host has recently been in contact with a leader.
