roller: state of rollouts, their steps, and the comparison of two versions

Result: go test ./lib/roller ./controld/store passes, with and without -race. The tests of lib/roller run one order per case over simulated counts: ten kinds of bad versions are rolled back within the exposure and 5 s, eight good ones succeed, and 100 random runs with lost hosts and leaders keep the exposure.

--- a/controld/store/depart.go
+++ b/controld/store/depart.go
@@ -47,6 +47,8 @@
 	Evacuated []string
 	// Departures holds the newest departed incarnation of each leaf.
 	Departures map[string]uint64
+	// Rollouts are sorted by service.
+	Rollouts []*statev1.Rollout
 	// Changed is closed at the next change.
 	Changed <-chan struct{}
 }
@@ -58,7 +60,7 @@
 	m := s.machine
 	out := View{
 		Index: m.index, Document: m.documents.Current(), Evacuated: m.evacuatedCenters(),
-		Departures: make(map[string]uint64), Changed: m.changed,
+		Departures: make(map[string]uint64), Rollouts: m.rollouts.List(), Changed: m.changed,
 	}
 	m.departures.Each(func(leaf string, born uint64) { out.Departures[leaf] = born })
 	return out
--- a/controld/store/machine.go
+++ b/controld/store/machine.go
@@ -1,5 +1,6 @@
 // Package store holds the replicated state of the control hosts: the configuration, as patched versions or as complete
-// documents, the at-most-once ledger, evacuated data centres and departed leaves.
+// documents, the at-most-once ledger, evacuated data centres, departed leaves and
+// rollouts.
 package store
 
 import (
@@ -13,6 +14,7 @@
 	"lycheelift.example/lib/configurator"
 	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/registrar"
+	"lycheelift.example/lib/roller"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
@@ -27,10 +29,11 @@
 	// orders holds the index of the newest evacuation order for each data centre.
 	orders     map[string]uint64
 	departures *enroller.Departures
+	rollouts   *roller.Ledger
 	members    *statev1.Members
 	time       time.Time
 	index      uint64
-	// changed is closed and replaced when documents, evacuations or departures have changed.
+	// changed is closed and replaced when documents, evacuations, departures or rollouts have changed.
 	changed chan struct{}
 }
 
@@ -51,7 +54,8 @@
 func NewMachine(options ...MachineOption) *Machine {
 	m := &Machine{
 		configuration: configurator.New(), ledger: registrar.New(), documents: configurator.NewDocuments(),
-		evacuated: make(map[string]bool), orders: make(map[string]uint64), departures: enroller.NewDepartures(), changed: make(chan struct{}),
+		evacuated: make(map[string]bool), orders: make(map[string]uint64), departures: enroller.NewDepartures(),
+		rollouts: roller.NewLedger(), changed: make(chan struct{}),
 	}
 	for _, o := range options {
 		o(m)
@@ -82,6 +86,12 @@
 		return m.applyEvacuation(index, kind.Evacuation, now)
 	case *statev1.Command_Departure:
 		return m.applyDeparture(kind.Departure, now)
+	case *statev1.Command_Rollout:
+		return m.reply(m.rollouts.Order(index, kind.Rollout, now))
+	case *statev1.Command_Step:
+		return m.reply(m.rollouts.Step(index, kind.Step, now))
+	case *statev1.Command_Baselines:
+		return m.reply(&statev1.RolloutResult{Changed: m.rollouts.SetBaselines(index, kind.Baselines, now)})
 	case nil:
 		return &statev1.Result{}
 	default:
@@ -129,6 +139,7 @@
 	m.documents.Save(state)
 	m.saveEvacuated(state)
 	m.departures.Save(state)
+	m.rollouts.Save(state)
 	return state, m.ledger.Freeze()
 }
 
@@ -149,6 +160,7 @@
 	m.documents.Load(state)
 	m.loadEvacuated(state)
 	m.departures.Load(state)
+	m.rollouts.Load(state)
 	m.notifyChanged()
 	m.members = state.GetMembers()
 	m.time = time.Time{}
