fleetd: rollouts of a service's version

Cause: fleetd did not know orders for a version, and leaves of any version that announced themselves got requests. Without orders and without bounds.exposure nothing changes. Result: tests of platform, fleetd/..., lib/roller, controld/store and entryd/... pass; those of the changed packages also with -race. Not yet tried with real processes.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -20,6 +20,7 @@
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/estimator"
 	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/roller"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/lib/selector"
 )
@@ -93,6 +94,8 @@
 	metrics  *metrics
 	gauge    *gauger.Gauger
 	suspects SuspectTracker
+	// tally counts the calls to services with a rollout.
+	tally *roller.Tally
 	// stopSchedule returns the schedule of this host's graceful stop, nil while it is not stopping.
 	stopSchedule func() *drainer.Schedule
 	cutOff       atomic.Bool
@@ -133,6 +136,11 @@
 	return func(a *Answerer) { a.suspects = s }
 }
 
+// WithTally sets the tally of calls to services with a rollout.
+func WithTally(t *roller.Tally) Option {
+	return func(a *Answerer) { a.tally = t }
+}
+
 // WithStopSchedule sets the function that returns the schedule of this host's graceful stop, nil while it is not stopping.
 func WithStopSchedule(schedule func() *drainer.Schedule) Option {
 	return func(a *Answerer) { a.stopSchedule = schedule }
@@ -149,7 +157,7 @@
 		estimate: estimator.New(estimator.WithPermille(hedgePercentile), estimator.WithWindow(estimateWindow, estimateRefresh)),
 		budget:   budgeter.NewWindow(bounds.Window, budgetShare*bounds.Ratio),
 		random:   rand.Float64, metrics: newMetrics(tally.NoopScope), gauge: gauger.New(),
-		suspects: noSuspects{}, stopSchedule: func() *drainer.Schedule { return nil },
+		suspects: noSuspects{}, tally: roller.NewTally(host, 0), stopSchedule: func() *drainer.Schedule { return nil },
 	}
 	for _, o := range options {
 		o(a)
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -8,9 +8,11 @@
 
 	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/merger"
 	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/roller"
 	"lycheelift.example/lib/selector"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 )
@@ -81,10 +83,13 @@
 		running.permit = alternative.permit
 	}
 	running.outgoing.Gate.Join(running.permit)
-	running.outgoing.Withdrawn = func() bool { return a.selector.Barred(c.Target.Leaf, a.clock()) }
+	service := q.shards[c.Shard]
+	running.outgoing.Withdrawn = func() bool { return a.withdrawn(service, c.Target.Leaf, a.clock()) }
+	running.counted = a.tally.Begin(service, c.Target.Leaf.Program, q.route.Name, c.Target.Leaf.ColdUntil.After(c.Sent), c.Sent)
 	results := q.results
 	go func() {
 		answer, err := a.caller.Do(ctx, running.outgoing)
+		running.counted.Close()
 		a.observe(c.Target.Leaf, q.request.ID, answer)
 		results <- callResult{call: running, answer: answer, err: err}
 	}()
@@ -133,7 +138,36 @@
 		end = selector.Unsent
 	}
 	c.cancel()
-	c.ticket.End(end, -1, q.answerer.clock())
+	now := q.answerer.clock()
+	c.ticket.End(end, -1, now)
+	if end == selector.Unsent {
+		c.counted.End(roller.Unsent, now)
+	} else {
+		c.counted.End(roller.Slow, now)
+	}
+}
+
+// withdrawn reports whether a call that waits for a connection must not be sent any more.
+func (a *Answerer) withdrawn(service string, leaf *cataloguer.Leaf, now time.Time) bool {
+	if a.selector.Barred(leaf, now) {
+		return true
+	}
+	view := a.viewer.View()
+	return view.Rollouts[service] != nil && !view.Callable(service, leaf, now)
+}
+
+// rolloutResult returns what the result of a call says about the version of the leaf.
+func rolloutResult(class classification, answer *carrier.Answer) roller.Result {
+	switch {
+	case class.unsent:
+		return roller.Unsent
+	case class.notRun:
+		return roller.Neutral
+	case class.reason == reasonNone && answer.Status/100 == 2:
+		return roller.Answered
+	}
+	// Errors that callers cause are as frequent with both versions.
+	return roller.Failed
 }
 
 // handleReturned classifies the result of a call and returns the event for the planner.
@@ -160,6 +194,7 @@
 		load = max(0, r.answer.Load.Running+r.answer.Load.Waiting-1)
 	}
 	r.call.ticket.End(class.end, load, now)
+	r.call.counted.End(rolloutResult(class, r.answer), now)
 	if class.reason == reasonNone {
 		q.answers[c.Attempt] = r.answer
 		q.answerer.estimate.Observe(q.route.Name, now.Sub(c.Sent))
--- a/fleetd/answerer/environment.go
+++ b/fleetd/answerer/environment.go
@@ -1,7 +1,6 @@
 package answerer
 
 import (
-	"slices"
 	"time"
 
 	"lycheelift.example/lib/cataloguer"
@@ -30,26 +29,35 @@
 type environment query
 
 // Pin returns the leaves of each shard as one snapshot, numbered by the version of the configuration.
-func (e *environment) Pin(above uint64, _ time.Time) (*cataloguer.Snapshot, planner.Reason) {
+func (e *environment) Pin(above uint64, now time.Time) (*cataloguer.Snapshot, planner.Reason) {
 	version := e.view.Version()
 	if version <= above {
 		return nil, reasonNoReplica
 	}
 	out := &cataloguer.Snapshot{Number: version, Shards: uint32(len(e.shards)), Holders: make([][]*cataloguer.Leaf, len(e.shards))} //nolint:gosec // Bounded by the document.
 	for i, name := range e.shards {
-		out.Holders[i] = e.view.Holders[name]
+		out.Holders[i] = e.view.Candidates(name, everyCall, now)
 	}
 	return out, reasonNone
 }
 
 // Choose picks a leaf among those that hold the shard now: some of the pinned holders may have left or been evacuated since
 // the request arrived. Leaves that could not be reached recently are skipped as long as the other shards give sufficient
-// coverage.
+// coverage. The share of a running rollout applies to the first call for a shard only: hedges and retries go to the version in
+// use until the rollout has moved all traffic.
 func (e *environment) Choose(shard uint32, _ []*cataloguer.Leaf, tried []string, now time.Time) (planner.Target, bool) {
 	q := (*query)(e)
 	c := q.choice(shard)
-	c.Holders, c.Tried = q.holders(shard), tried
+	view, service, drawn := q.answerer.viewer.View(), q.shards[shard], everyCall
+	if len(tried) == 0 && len(view.Trials[service]) > 0 {
+		drawn = q.answerer.random()
+	}
+	c.Holders, c.Tried = view.Candidates(service, drawn, now), tried
 	leaf, ok := q.answerer.selector.Choose(c, now)
+	if !ok && drawn < everyCall {
+		c.Holders = view.Candidates(service, everyCall, now)
+		leaf, ok = q.answerer.selector.Choose(c, now)
+	}
 	if !ok && len(tried) == 0 {
 		if q.skippable() {
 			q.skipped++
@@ -63,14 +71,15 @@
 
 // Callable reports whether a leaf still holds the shard and wants requests.
 func (e *environment) Callable(shard uint32, leaf *cataloguer.Leaf, now time.Time) bool {
-	return !e.answerer.selector.Barred(leaf, now) && slices.ContainsFunc((*query)(e).holders(shard), func(l *cataloguer.Leaf) bool {
-		return l.Name == leaf.Name && l.Incarnation == leaf.Incarnation
-	})
+	return !e.answerer.selector.Barred(leaf, now) && e.answerer.viewer.View().Callable(e.shards[shard], leaf, now)
 }
 
+// everyCall stands for calls that a rollout moves only together with all others.
+const everyCall = 1.0
+
 // holders returns the leaves that hold a shard at present.
 func (q *query) holders(shard uint32) []*cataloguer.Leaf {
-	return q.answerer.viewer.View().Holders[q.shards[shard]]
+	return q.answerer.viewer.View().Candidates(q.shards[shard], everyCall, q.answerer.clock())
 }
 
 // skippable reports whether one more shard may be omitted.
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -12,6 +12,7 @@
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/roller"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/lib/selector"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
@@ -74,6 +75,8 @@
 	outgoing *carrier.Call
 	// permit is shared with an alternative call; at most one of the two is sent.
 	permit *carrier.SendPermit
+	// counted is nil if the service has no rollout.
+	counted *roller.Call
 	// notRun is true when it is certain that the leaf has not executed the call and never will.
 	notRun bool
 }
--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/router"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // Decoder decodes and validates a configuration document.
@@ -20,6 +22,8 @@
 	decode Decoder
 	// onLosses receives the reported requests that are suspected of crashing the leaves that run them.
 	onLosses func(losses []*peerv1.Loss, now time.Time)
+	// onRollouts is told of the rollouts in force after each change, once the view has them.
+	onRollouts func(rollouts map[string]*statev1.Rollout, now time.Time)
 
 	mu         sync.Mutex
 	roster     *enroller.Roster
@@ -38,11 +42,16 @@
 	return func(f *Follower) { f.onLosses = onLosses }
 }
 
+// WithRolloutHandler sets the function that is told of the rollouts in force after each change.
+func WithRolloutHandler(onRollouts func(rollouts map[string]*statev1.Rollout, now time.Time)) Option {
+	return func(f *Follower) { f.onRollouts = onRollouts }
+}
+
 // New returns a follower with an empty view.
 func New(decode Decoder, now time.Time, options ...Option) *Follower {
 	f := &Follower{
 		decode: decode, roster: enroller.New(), departures: enroller.NewDepartures(),
-		onLosses: func([]*peerv1.Loss, time.Time) {},
+		onLosses: func([]*peerv1.Loss, time.Time) {}, onRollouts: func(map[string]*statev1.Rollout, time.Time) {},
 	}
 	for _, o := range options {
 		o(f)
@@ -83,10 +92,37 @@
 	if m.GetSettled() {
 		next.LastLeaderContact = now
 	}
-	if changed {
-		next.Holders = holders(f.roster.Since(0, false).Leaves, next.Evacuated)
+	rolled := applyRollouts(&next, m.GetRollouts().GetRollouts(), now)
+	if changed || rolled {
+		next.Holders, next.Trials = holders(f.roster.Since(0, false).Leaves, next.Evacuated, next.Rollouts)
 	}
 	f.view.Store(&next)
+	if rolled {
+		f.onRollouts(next.Rollouts, now)
+	}
+}
+
+// applyRollouts adds the rollouts that are newer than the known ones, and reports whether there were any.
+func applyRollouts(next *View, rollouts []*statev1.Rollout, now time.Time) bool {
+	changed := false
+	for _, r := range rollouts {
+		old := next.Rollouts[r.GetService()]
+		if old != nil && old.GetRevision() >= r.GetRevision() {
+			continue
+		}
+		if !changed {
+			changed, next.Rollouts = true, maps.Clone(next.Rollouts)
+			if next.Rollouts == nil {
+				next.Rollouts = make(map[string]*statev1.Rollout, len(rollouts))
+			}
+		}
+		next.Rollouts[r.GetService()] = r
+		if r.GetOrder() > 0 {
+			eventer.RolloutInUse.Log(now, "service", r.GetService(), "target", r.GetTarget(), "state", r.GetState().String(),
+				"share", r.GetShare(), "revision", r.GetRevision())
+		}
+	}
+	return changed
 }
 
 // SetIsolated records whether the connected control host is isolated from all others.
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -49,6 +49,7 @@
 	home     homeBackoff
 	// followed is the address of the control host followed last, empty before the first.
 	followed string
+	counts   *linker.Counts
 }
 
 type control struct {
@@ -58,7 +59,7 @@
 // NewClient returns a client that passes the messages of control hosts to a follower. address is where this host gathers
 // portions of other hosts' queries, empty if it does not; seeds returns addresses of control hosts.
 func NewClient(f *Follower, host, center, address string, seeds func() []string, clock func() time.Time) *Client {
-	return &Client{follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock, home: newHomeBackoff(host)}
+	return &Client{follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock, home: newHomeBackoff(host), counts: &linker.Counts{}}
 }
 
 // Run follows control hosts until ctx ends.
@@ -238,6 +239,17 @@
 	return linker.Report(ctx, address, loss)
 }
 
+// ReportCounts sends counts of calls to services with a running rollout to the followed control host.
+func (c *Client) ReportCounts(ctx context.Context, counts []*peerv1.ServiceCounts) error {
+	c.mu.Lock()
+	address := c.followed
+	c.mu.Unlock()
+	if address == "" {
+		return errNeverFollowed
+	}
+	return c.counts.Send(ctx, address, counts)
+}
+
 // shouldReturn reports whether to leave a control host of another data centre and try one in the own data centre.
 func (c *Client) shouldReturn(address string, since, now time.Time) bool {
 	c.mu.Lock()
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -12,6 +12,7 @@
 	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/eventer"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // batchDelay is how long changes are collected before they are sent in one message.
@@ -51,6 +52,8 @@
 	// losses is the revision of the loss ledger up to which losses have been sent.
 	losses uint64
 	sent   time.Time
+	// rollouts are the rollouts sent last.
+	rollouts []*statev1.Rollout
 }
 
 // Follow sends the current state of this host and then every change.
@@ -153,6 +156,11 @@
 		f.centers = view.Evacuated
 		changed = true
 	}
+	if len(view.Rollouts) > 0 && !slices.Equal(f.rollouts, view.Rollouts) {
+		m.Rollouts = &peerv1.Rollouts{Rollouts: changedRollouts(f.rollouts, view.Rollouts)}
+		f.rollouts = view.Rollouts
+		changed = true
+	}
 	for leaf, born := range view.Departures {
 		if f.departed[leaf] < born {
 			m.Leaves = append(m.Leaves, &peerv1.RosterLeaf{Leaf: leaf, Born: born, Leaving: true})
@@ -162,3 +170,12 @@
 	f.departed = view.Departures
 	return changed
 }
+
+// changedRollouts returns the rollouts that have not been sent.
+func changedRollouts(sent, all []*statev1.Rollout) []*statev1.Rollout {
+	known := make(map[*statev1.Rollout]bool, len(sent))
+	for _, r := range sent {
+		known[r] = true
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(r *statev1.Rollout) bool { return known[r] })
+}
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -52,6 +52,8 @@
 	// losses tracks requests that are suspected of crashing the leaves that run them.
 	losses *quarantiner.Ledger
 	clock  func() time.Time
+	// rollouts runs the orders for versions of services.
+	rollouts *rollouts
 
 	mu sync.Mutex
 	// followers counts the entry hosts that follow this host. peers holds the state of the other control hosts, by address.
@@ -72,11 +74,18 @@
 
 // New returns a keeper. controlAddress is where this host serves leaves and operators, and peerAddress where it serves
 // other hosts.
-func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time) *Keeper {
-	return &Keeper{
+func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time,
+	options ...Option,
+) *Keeper {
+	k := &Keeper{
 		host: host, center: center, controlAddress: controlAddress, peerAddress: peerAddress, store: s, log: log, clock: clock,
 		roster: enroller.New(), losses: quarantiner.NewLedger(), peers: make(map[string]peerStatus), streams: make(map[follower]int),
+		rollouts: newRollouts(),
 	}
+	for _, o := range options {
+		o(k)
+	}
+	return k
 }
 
 // Settled reports whether this host has recently been in contact with a leader.
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -68,8 +68,10 @@
 	running, stop := context.WithCancel(context.Background())
 	logDone := make(chan error, 1)
 	go func() { logDone <- log.Run(running) }()
-	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), store.New(machine, proposer{log}, clock), log, clock)
+	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), store.New(machine, proposer{log}, clock), log, clock,
+		keeper.WithRollouts(s.exposure, s.Bounds.Exposure > 0, platform.DecodeDocument))
 	go controlKeeper.Run(running, folder)
+	go controlKeeper.RunRollouts(running)
 	go controlKeeper.FollowPeers(running, s.controls)
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
 	err = serveControl(ctx, s, log, controlKeeper, clock)
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -15,9 +15,11 @@
 	"lycheelift.example/fleetd/linker"
 	"lycheelift.example/fleetd/receiver"
 	"lycheelift.example/fleetd/suspector"
+	"lycheelift.example/fleetd/tallier"
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
+	"lycheelift.example/lib/roller"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/platform"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
@@ -38,10 +40,12 @@
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	suspects := suspector.New()
-	viewFollower := follower.New(platform.DecodeDocument, clock(), follower.WithLossHandler(suspects.Merge))
+	tally := roller.NewTally(s.peers.String(), uint64(clock().UnixNano()))
+	viewFollower := follower.New(platform.DecodeDocument, clock(), follower.WithLossHandler(suspects.Merge), follower.WithRolloutHandler(tally.Update))
 	client := follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
 	go client.Run(running)
 	go suspects.Run(running, client.Report, clock)
+	go tallier.Run(running, tally, func(now time.Time) bool { return viewFollower.View().Fresh(now) }, client.ReportCounts, clock)
 	limits := func() router.Limits {
 		if t := viewFollower.View().Table; t != nil {
 			return t.Document().Limits
@@ -54,7 +58,7 @@
 	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
 	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStopSchedule(requestReceiver.Schedule),
-		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient))
+		answerer.WithTally(tally), answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient))
 	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
 		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
 	ready := func() bool {
--- a/fleetd/server/server.go
+++ b/fleetd/server/server.go
@@ -17,6 +17,7 @@
 	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
+	"lycheelift.example/lib/roller"
 	settings "lycheelift.example/schema/gen/settings/fleetd"
 )
 
@@ -31,6 +32,8 @@
 	bind   string
 	grace  time.Duration
 	window time.Duration
+	// exposure bounds what a bad version may get during a rollout.
+	exposure roller.Bounds
 	// tolerance is the number of control hosts that may fail at the same time.
 	tolerance int
 }
@@ -70,6 +73,8 @@
 	if s.window < minWindow {
 		fail("bounds.window", fmt.Errorf("%s is shorter than %s", s.window, minWindow))
 	}
+	s.exposure, err = exposure(&in.Bounds)
+	fail("bounds.rollback", err)
 	s.tolerance = int(math.Ceil(in.Tolerance))
 	if len(faults) > 0 {
 		return nil, errors.Join(append([]error{ErrSettings}, faults...)...)
@@ -77,6 +82,20 @@
 	return s, nil
 }
 
+// exposure returns the bounds of rollouts. Orders are carried out under the defaults where the settings do not bound them.
+func exposure(in *settings.Bounds) (roller.Bounds, error) {
+	out := roller.Bounds{Exposure: in.Exposure, Slack: in.Exposureslack, Rollback: roller.DefaultRollback}
+	if out.Exposure <= 0 {
+		out.Exposure, out.Slack = roller.DefaultExposure, 0
+	}
+	if in.Rollback == "" {
+		return out, nil
+	}
+	var err error
+	out.Rollback, err = time.ParseDuration(in.Rollback)
+	return out, err
+}
+
 const (
 	// quotaDivisor divides the host's memory to get the bytes that large answers may have. Growing buffers and garbage need
 	// several times as much.
--- a/lib/cataloguer/table.go
+++ b/lib/cataloguer/table.go
@@ -43,6 +43,8 @@
 	Address     netip.AddrPort
 	Center      string
 	Service     string
+	// Program is the version of the leaf's program; empty if it does not say.
+	Program     string
 	State       State
 	Slots       int
 	Connections int
