--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -86,6 +86,9 @@
 	service := q.shards[c.Shard]
 	running.outgoing.Withdrawn = func() bool { return a.withdrawn(service, c.Target.Leaf, a.clock()) }
 	running.counted = a.tally.Begin(service, c.Target.Leaf.Program, q.route.Name, c.Target.Leaf.ColdUntil.After(c.Sent), c.Sent)
+	if running.counted.Trial() {
+		a.metrics.trials.Inc(1)
+	}
 	results := q.results
 	go func() {
 		answer, err := a.caller.Do(ctx, running.outgoing)
--- a/fleetd/answerer/metrics.go
+++ b/fleetd/answerer/metrics.go
@@ -24,6 +24,8 @@
 	latency  tally.Histogram
 	// portions counts the portions that this host gathered for divided queries.
 	portions tally.Counter
+	// trials counts the calls to leaves of a version whose rollout was running.
+	trials tally.Counter
 }
 
 var callNames = map[planner.CallKind]string{
@@ -33,7 +35,7 @@
 func newMetrics(s tally.Scope) *metrics {
 	m := &metrics{
 		outcomes: make(map[carrier.Outcome]tally.Counter), calls: make(map[planner.CallKind]tally.Counter),
-		failures: make(map[callerv1.Reason]tally.Counter), portions: s.Counter("portions"),
+		failures: make(map[callerv1.Reason]tally.Counter), portions: s.Counter("portions"), trials: s.Counter("rollout_calls"),
 		latency: s.Histogram("request_duration", tally.MustMakeExponentialDurationBuckets(firstBucket, 2, bucketCount)),
 	}
 	for outcome, name := range outcomeNames {
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -250,6 +250,11 @@
 	return c.counts.Send(ctx, address, counts)
 }
 
+// CloseCounts closes the connection over which counts are sent.
+func (c *Client) CloseCounts() {
+	c.counts.Close()
+}
+
 // shouldReturn reports whether to leave a control host of another data centre and try one in the own data centre.
 func (c *Client) shouldReturn(address string, since, now time.Time) bool {
 	c.mu.Lock()
--- a/fleetd/keeper/rollouts.go
+++ b/fleetd/keeper/rollouts.go
@@ -199,6 +199,10 @@
 	}
 	clear(r.outbox)
 	r.mu.Unlock()
+	if !slices.ContainsFunc(k.store.Rollouts(), roller.Running) {
+		r.counts.Close()
+		return
+	}
 	leader := k.leaderAddress()
 	if len(counts) == 0 || leader == "" {
 		return
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -45,7 +45,7 @@
 	client := follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
 	go client.Run(running)
 	go suspects.Run(running, client.Report, clock)
-	go tallier.Run(running, tally, func(now time.Time) bool { return viewFollower.View().Fresh(now) }, client.ReportCounts, clock)
+	go tallier.Run(running, tally, func(now time.Time) bool { return viewFollower.View().Fresh(now) }, client, clock)
 	limits := func() router.Limits {
 		if t := viewFollower.View().Table; t != nil {
 			return t.Document().Limits
--- a/fleetd/tallier/tallier.go
+++ b/fleetd/tallier/tallier.go
@@ -18,20 +18,31 @@
 	timeout = 250 * time.Millisecond
 )
 
+// Sender delivers counts to a control host.
+type Sender interface {
+	ReportCounts(ctx context.Context, counts []*peerv1.ServiceCounts) error
+	// CloseCounts closes the connection for counts.
+	CloseCounts()
+}
+
 // Run reports until ctx ends, as long as an order is running. Fresh reports whether this host uses the shares of running
-// rollouts; send delivers counts to a control host.
-func Run(ctx context.Context, t *roller.Tally, fresh func(now time.Time) bool, send func(context.Context, []*peerv1.ServiceCounts) error,
-	clock func() time.Time,
-) {
+// rollouts.
+func Run(ctx context.Context, t *roller.Tally, fresh func(now time.Time) bool, to Sender, clock func() time.Time) {
+	open := false
 	repeater.Every(ctx, interval, func() {
 		now := clock()
 		counts := t.Report(fresh(now), now)
 		if len(counts) == 0 {
+			if open {
+				to.CloseCounts()
+			}
+			open = false
 			return
 		}
+		open = true
 		attempt, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		if err := send(attempt, counts); err != nil {
+		if err := to.ReportCounts(attempt, counts); err != nil {
 			eventer.CountsFailed.Log(clock(), "counts", len(counts), "error", err.Error())
 		}
 	})
--- a/leafd/provider/announce.go
+++ b/leafd/provider/announce.go
@@ -66,7 +66,7 @@
 		state = "draining"
 	}
 	body, _ := json.Marshal(map[string]any{
-		"service": l.config.Service, "address": l.config.Address.String(), "zone": l.config.Center, "version": "v1",
+		"service": l.config.Service, "address": l.config.Address.String(), "zone": l.config.Center, "version": l.config.Program,
 		"slots": l.config.Slots, "state": state, "coldLeftMs": 0, "seq": l.sequence, "born": l.startMs,
 	})
 	next, offset := l.nextControl, int(l.sequence) //nolint:gosec // A small number.
--- a/leafd/provider/provider.go
+++ b/leafd/provider/provider.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,13 +45,32 @@
 	Shed, LoseAnswer, TruncateAnswer, ExtraAnswer float64
 	// RetryAfter is the time, in whole seconds, for which a refusing leaf says that it wants no more requests; 0 says nothing.
 	RetryAfter time.Duration
+	// Fail is the fraction of requests that run and are answered with status 500, and Slow multiplies WorkTime if it is above
+	// 1. Only limits both to requests whose path has this prefix.
+	Fail, Slow float64
+	Only       string
+}
+
+// affects reports whether Fail and Slow apply to a path.
+func (b *Behaviour) affects(path string) bool {
+	return strings.HasPrefix(path, b.Only)
+}
+
+// workTime returns the processing time of a request.
+func (b *Behaviour) workTime(path string) time.Duration {
+	if b.Slow > 1 && b.affects(path) {
+		return time.Duration(b.Slow * float64(b.WorkTime))
+	}
+	return b.WorkTime
 }
 
 // Config describes a leaf.
 type Config struct {
 	Name, Service, Center string
 	Address               netip.AddrPort
-	Slots                 int
+	// Program is the version of the leaf's program; v1 if it is empty.
+	Program string
+	Slots   int
 	// Controls returns the addresses of control hosts.
 	Controls func() []string
 	// HeartbeatInterval is the time between two heartbeats.
@@ -77,6 +97,9 @@
 
 // New returns a leaf that is not started yet.
 func New(c Config) *Leaf {
+	if c.Program == "" {
+		c.Program = "v1"
+	}
 	return &Leaf{
 		config: c, startMs: time.Now().UnixMilli(), slots: make(chan struct{}, c.Slots),
 		random: rand.New(rand.NewPCG(c.Seed, 1)), //nolint:gosec // Faults need no secrecy.
@@ -155,10 +178,14 @@
 	defer func() { <-l.slots }()
 	l.config.OnRun(l, id, time.Now())
 	select {
-	case <-time.After(b.WorkTime):
+	case <-time.After(b.workTime(r.URL.Path)):
 	case <-r.Context().Done():
 		return
 	}
+	if b.affects(r.URL.Path) && l.chance(b.Fail) {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	l.respond(w, r, b, id)
 }
 
--- a/lib/roller/tally.go
+++ b/lib/roller/tally.go
@@ -83,6 +83,12 @@
 	cold bool
 	// classified is true once the result is known, and closed once the call runs no more.
 	classified, closed bool
+	trial              bool
+}
+
+// Trial reports whether the call goes to the target of a running order.
+func (c *Call) Trial() bool {
+	return c != nil && c.trial
 }
 
 // Begin counts a call that is being sent. It returns nil if the service has no rollout.
@@ -96,7 +102,7 @@
 	s.running[program]++
 	out := &Call{tally: t, service: s, program: program, began: now, cold: cold}
 	if Running(s.rollout) {
-		out.counts = s.count(program, route)
+		out.counts, out.trial = s.count(program, route), program == s.rollout.GetTarget()
 		out.counts.Sent++
 	}
 	return out
--- a/lib/roller/watch.go
+++ b/lib/roller/watch.go
@@ -45,10 +45,12 @@
 	// change.
 	stepInterval   = 2 * time.Second
 	shareTolerance = 0.25
-	// reportLag is the age of the counts of all hosts together, and confirmTime the time from a step to the full share until
-	// all hosts have said that they have left the old version and a success has reached them.
-	reportLag   = 500 * time.Millisecond
-	confirmTime = 1200 * time.Millisecond
+	// reportLag is the time until calls are counted and a step that stops them has reached the hosts. confirmTime is the time
+	// from a step to the full share until all hosts have said that they have left the old version, and recordTime the time to
+	// decide and record a success.
+	reportLag   = 700 * time.Millisecond
+	confirmTime = time.Second
+	recordTime  = 300 * time.Millisecond
 )
 
 // schedule holds the times of an order, from its beginning.
@@ -271,6 +273,9 @@
 		}
 		return w.end(statev1.RolloutState_ROLLOUT_STATE_ROLLEDBACK, w.missed(f, full))
 	}
+	if !w.ready(now) && f.Trial > 0 {
+		return nil
+	}
 	share := w.share(f, elapsed, now)
 	if share == r.GetShare() || !w.worth(share, held) {
 		return nil
@@ -280,10 +285,15 @@
 	return step
 }
 
+// ready reports whether the rate of requests is known. A new leader leaves the share as it is until all hosts have reported.
+func (w *Watch) ready(now time.Time) bool {
+	return w.whole || !w.first.IsZero() && now.Sub(w.first) >= reportTimeout
+}
+
 // scarce reports whether the permitted exposure is about to be used up at the full share.
 func (w *Watch) scarce(now time.Time) bool {
 	seen, exposed := w.counted()
-	return float64(exposed)+w.rate(now)*reportLag.Seconds() > fullBudget*(w.bounds.Exposure*float64(seen)+w.bounds.Slack)
+	return float64(exposed)+w.peak(now)*reportLag.Seconds() > fullBudget*(w.bounds.Exposure*float64(seen)+w.bounds.Slack)
 }
 
 // missed returns why the order has no success at its deadline.
@@ -351,6 +361,19 @@
 	return float64(sent) / max(now.Sub(begin), slotTime).Seconds()
 }
 
+// peak returns the greatest number of requests per second in the last seconds, because traffic may have begun only now.
+func (w *Watch) peak(now time.Time) float64 {
+	out := w.rate(now)
+	for i := max(0, len(w.recent)-1-rateSlots); i < len(w.recent); i++ {
+		if now.Sub(w.recent[i].begin) > (rateSlots+1)*slotTime {
+			continue
+		}
+		all := sum(w.recent[i].routes)
+		out = max(out, float64(all[0].Sent+all[1].Sent)/slotTime.Seconds())
+	}
+	return out
+}
+
 // share returns the share that is due, as far as the permitted exposure allows.
 func (w *Watch) share(f Facts, elapsed time.Duration, now time.Time) uint32 {
 	if f.Trial == 0 {
@@ -367,7 +390,7 @@
 	enough := f.Trial-f.Cold >= max(1, f.Stable/2) //nolint:mnd // Half of the leaves bear the traffic of most services.
 	if elapsed >= w.schedule.middle && enough {
 		ahead := permitted + futurePart*w.bounds.Exposure*min(rate, average)*left
-		if due := w.late(elapsed, rate, float64(exposed), fullBudget*ahead); due > 0 {
+		if due := w.late(elapsed, w.peak(now), float64(exposed), fullBudget*ahead); due > 0 {
 			return due
 		}
 	}
@@ -379,12 +402,13 @@
 
 // late returns the middle or the full share if the budget allows it, else 0.
 func (w *Watch) late(elapsed time.Duration, rate, exposed, budget float64) uint32 {
-	last := max(w.schedule.hold+reportLag, confirmTime).Seconds()
+	last := w.fullTime().Seconds()
 	if w.rollout.GetShare() == FullShare {
 		last = reportLag.Seconds()
 	}
+	middle := max(0, w.schedule.full-elapsed).Seconds() * middleShare / FullShare
 	switch {
-	case exposed+rate*last > budget:
+	case exposed+rate*(middle+last) > budget:
 		return 0
 	case elapsed >= w.schedule.full:
 		return FullShare
@@ -392,6 +416,11 @@
 	return middleShare
 }
 
+// fullTime returns the least time from a step to the full share until a success.
+func (w *Watch) fullTime() time.Duration {
+	return max(w.schedule.hold+recordTime, confirmTime)
+}
+
 // trial returns the first share. Once the rate is known, it uses a part of the slack as well, because a service with few
 // requests could not be judged otherwise, and keeps free what the full share needs.
 func (w *Watch) trial(rate float64, now time.Time) uint32 {
@@ -401,7 +430,7 @@
 	expected := rate * w.rollout.GetDuration().AsDuration().Seconds()
 	permitted := w.bounds.Exposure*expected + w.bounds.Slack
 	most := trialExposure*w.bounds.Exposure*expected + trialSlack*w.bounds.Slack
-	reserve := lateReserve * rate * max(w.schedule.hold+reportLag, confirmTime).Seconds()
+	reserve := lateReserve * rate * w.fullTime().Seconds()
 	use := max(minTrial*permitted, min(most, fullBudget*permitted-reserve))
 	return uint32(max(1, min(use/expected*FullShare, maxTrial)))
 }
--- a/soaker/stager/stager.go
+++ b/soaker/stager/stager.go
@@ -50,12 +50,14 @@
 // Deployment is a set of control and entry hosts.
 type Deployment struct {
 	Controls, Entries []*Host
+
+	bounds []string
 }
 
 // New writes the settings of a deployment and starts the proxies of its control hosts, but no process. subnet is the
-// second octet of the loopback addresses.
-func New(binary, folder string, subnet, controls, entries int) (*Deployment, error) {
-	d := &Deployment{}
+// second octet of the loopback addresses, and bounds are further lines of the settings' section of that name.
+func New(binary, folder string, subnet, controls, entries int, bounds ...string) (*Deployment, error) {
+	d := &Deployment{bounds: append([]string{"slack = 58"}, bounds...)}
 	var seeds []string
 	for i := range min(controls, 3) {
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.%d.0.%d:%d", subnet, i+1, controlPort)))
@@ -93,8 +95,8 @@
 	if err := os.MkdirAll(h.folder, 0o750); err != nil {
 		return oops.In("stager").Wrap(err)
 	}
-	text := fmt.Sprintf("name = %q\ncenter = %q\naddress = %q\nports = [%d, %d]\nseeds = [%s]\nfirst = true\ntolerance = 1\ndata = %q\nportion = 1\n[listen]\n%s[bounds]\nslack = 58\n",
-		h.Name, h.Center, address, peerPort, peerPort+9, strings.Join(seeds, ", "), h.dataFolder(), listen)
+	text := fmt.Sprintf("name = %q\ncenter = %q\naddress = %q\nports = [%d, %d]\nseeds = [%s]\nfirst = true\ntolerance = 1\ndata = %q\nportion = 1\n[listen]\n%s[bounds]\n%s\n",
+		h.Name, h.Center, address, peerPort, peerPort+9, strings.Join(seeds, ", "), h.dataFolder(), listen, strings.Join(d.bounds, "\n"))
 	return oops.In("stager").Wrap(os.WriteFile(h.settingsFile(), []byte(text), 0o600))
 }
 
