Rollouts: a version that becomes slow in the process test, and no work without orders

Cause: the leader copied the roster five times a second without an order, and no process test showed a version that becomes bad later. Change: without a running order the leader looks at the leaves once a second, and only where bounds.exposure is set. TestRollouts has a third service whose new version becomes 8 times slower after a third of the order. Tests of fleetd/..., lib/roller, platform and controld/store pass; fleetd/keeper also with -race.

--- a/fleetd/keeper/rollouts.go
+++ b/fleetd/keeper/rollouts.go
@@ -191,8 +191,8 @@
 // passOnCounts sends the waiting counts to the leader.
 func (k *Keeper) passOnCounts(ctx context.Context) {
 	r := k.rollouts
+	r.stopWatching()
 	r.mu.Lock()
-	clear(r.watches)
 	counts := make([]*peerv1.ServiceCounts, 0, len(r.outbox))
 	for _, c := range r.outbox {
 		counts = append(counts, c)
@@ -227,8 +227,12 @@
 
 // StepRollouts decides and records the next step of each running order. It must be called on the leader.
 func (k *Keeper) StepRollouts(ctx context.Context) {
-	now := k.clock()
-	all, leaves := k.store.Rollouts(), k.roster.Since(0, false).Leaves
+	now, all := k.clock(), k.store.Rollouts()
+	if !slices.ContainsFunc(all, roller.Running) && !k.rollouts.baselinesDue(now) {
+		k.rollouts.stopWatching()
+		return
+	}
+	leaves := k.roster.Since(0, false).Leaves
 	evacuated := k.store.Evacuated()
 	hosts := k.reachableEntries(now)
 	addresses := make([]string, 0, len(hosts))
@@ -264,11 +268,24 @@
 		group.Go(func() { k.recordStep(ctx, step) })
 	}
 	group.Wait()
-	if r.baselines {
+	if r.baselinesDue(now) {
+		r.checked = now
 		k.setBaselines(ctx, services, leaves, now)
 	}
 }
 
+// baselinesDue reports whether the versions in use are to be checked.
+func (r *rollouts) baselinesDue(now time.Time) bool {
+	return r.baselines && now.Sub(r.checked) >= baselineInterval
+}
+
+// stopWatching forgets the orders that this host has followed.
+func (r *rollouts) stopWatching() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.watches)
+}
+
 // watch returns the watch of a running order. The caller must hold r.mu.
 func (r *rollouts) watch(rollout *statev1.Rollout) *roller.Watch {
 	w := r.watches[rollout.GetService()]
@@ -326,10 +343,6 @@
 // setBaselines records the version in use of the services that have none, or whose version in use has no leaves any more.
 func (k *Keeper) setBaselines(ctx context.Context, services map[string]bool, leaves []*enroller.Leaf, now time.Time) {
 	r := k.rollouts
-	if now.Sub(r.checked) < baselineInterval {
-		return
-	}
-	r.checked = now
 	known := make(map[string]*statev1.Rollout)
 	for _, rollout := range k.store.Rollouts() {
 		known[rollout.GetService()] = rollout
--- a/soaker/stager/rollout_test.go
+++ b/soaker/stager/rollout_test.go
@@ -31,8 +31,9 @@
 	callers         = 6
 )
 
-const rolloutConfiguration = `{"version":1,"services":[{"name":"good","maxConns":100},{"name":"bad","maxConns":100}],"limits":{},"routes":[
+const rolloutConfiguration = `{"version":1,"services":[{"name":"good","maxConns":100},{"name":"bad","maxConns":100},{"name":"late","maxConns":100}],"limits":{},"routes":[
 {"name":"good","host":"n.example","pathPrefix":"/good/","routeType":"safe","timeoutMs":1500,"targetLatencyMs":200,"priority":1,"maxAttempts":2,"service":"good"},
+{"name":"late","host":"n.example","pathPrefix":"/late/","routeType":"safe","timeoutMs":1500,"targetLatencyMs":200,"priority":1,"maxAttempts":2,"service":"late"},
 {"name":"bad","host":"n.example","pathPrefix":"/bad/","routeType":"safe","timeoutMs":1500,"targetLatencyMs":200,"priority":1,"maxAttempts":2,"service":"bad"},
 {"name":"other","host":"n.example","pathPrefix":"/other/","routeType":"safe","timeoutMs":1500,"targetLatencyMs":200,"priority":1,"maxAttempts":2,"service":"bad"}]}`
 
@@ -129,7 +130,7 @@
 	defer client.CloseIdleConnections()
 	for i := 0; ctx.Err() == nil; i++ {
 		host := s.deployment.Entries[(number+i/50)%len(s.deployment.Entries)]
-		path := []string{"good", "bad", "other"}[i%3]
+		path := []string{"good", "bad", "other", "late"}[i%4]
 		request, err := http.NewRequestWithContext(context.Background(), http.MethodGet, fmt.Sprintf("http://%s/%s/%d", host.Address, path, i), nil)
 		if err != nil {
 			s.failed.Add(1)
@@ -155,7 +156,7 @@
 
 // Guards, with real processes, against leaves of a version that get requests before their order; a good version that does not
 // succeed by its deadline or whose success is reported while the old leaves are still needed; a version that is bad on one
-// route and is not rolled back, exceeds its exposure or gets requests after its rollback; an order that is lost with all
+// route, or becomes slow later, and is not rolled back, exceeds its exposure or gets requests after its rollback; an order that is lost with all
 // control hosts; and a repeated order that is not recognised.
 func TestRollouts(t *testing.T) {
 	binary := filepath.Join(t.TempDir(), "fleetd")
@@ -170,6 +171,7 @@
 	usual := provider.Behaviour{WorkTime: 5 * time.Millisecond}
 	_, stopOld := s.startLeaves("good", "v1", usual)
 	s.startLeaves("bad", "v1", usual)
+	s.startLeaves("late", "v1", usual)
 	for _, h := range s.deployment.Hosts() {
 		qt.Assert(t, h.Start(), qt.IsNil)
 	}
@@ -178,6 +180,7 @@
 	time.Sleep(settleWait)
 	s.startLeaves("good", "v2", usual)
 	s.startLeaves("bad", "v2", provider.Behaviour{WorkTime: 5 * time.Millisecond, Fail: 0.5, Only: "/other/"})
+	late, _ := s.startLeaves("late", "v2", usual)
 	load, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var group sync.WaitGroup
@@ -185,14 +188,14 @@
 		group.Go(func() { s.send(load, i) })
 	}
 	time.Sleep(settleWait)
-	qt.Check(t, s.ran("good", "v2")+s.ran("bad", "v2"), qt.Equals, 0)
+	qt.Check(t, s.ran("good", "v2")+s.ran("bad", "v2")+s.ran("late", "v2"), qt.Equals, 0)
 	qt.Check(t, s.ran("good", "v1") > 0, qt.IsTrue)
 	status, _ = s.operate(http.MethodGet, "/rollouts/good", "")
 	qt.Check(t, status, qt.Equals, http.StatusNotFound)
 
-	before := s.ran("bad", "v1")
+	before := map[string]int{"bad": s.ran("bad", "v1"), "late": s.ran("late", "v1")}
 	began := time.Now()
-	for _, service := range []string{"good", "bad"} {
+	for _, service := range []string{"good", "bad", "late"} {
 		qt.Assert(t, s.order(service), qt.Equals, http.StatusOK)
 		qt.Assert(t, s.order(service), qt.Equals, http.StatusConflict)
 	}
@@ -204,12 +207,23 @@
 		h.Wait()
 		qt.Assert(t, h.Restart(), qt.IsNil)
 	}
-	for s.state("bad") == "running" && time.Since(began) < rolloutDuration {
+	time.Sleep(rolloutDuration/3 - time.Since(began))
+	for _, l := range late {
+		l.SetBehaviour(provider.Behaviour{WorkTime: 5 * time.Millisecond, Slow: 8})
+	}
+	ended, exposed := make(map[string]time.Duration), make(map[string]int)
+	for len(ended) < 2 && time.Since(began) < rolloutDuration {
 		time.Sleep(100 * time.Millisecond)
+		for service := range before {
+			if _, known := ended[service]; !known && s.state(service) != "running" {
+				ended[service] = time.Since(began)
+			}
+		}
 	}
-	rolledBackAt := time.Since(began)
 	time.Sleep(time.Second)
-	exposed := s.ran("bad", "v2")
+	for service := range before {
+		exposed[service] = s.ran(service, "v2")
+	}
 	for s.state("good") == "running" && time.Since(began) < rolloutDuration {
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -219,13 +233,15 @@
 	time.Sleep(settleWait)
 	stopLoad()
 	group.Wait()
-	t.Logf("bad rolled back after %s with %d calls; good succeeded after %s; %d requests, %d failed before the old leaves were stopped and %d in all",
-		rolledBackAt, exposed, succeededAt, s.sent.Load(), failedBefore, s.failed.Load())
-	qt.Check(t, s.state("bad"), qt.Equals, "rolled_back")
+	t.Logf("rolled back after %v with %v calls; good succeeded after %s; %d requests, %d failed before the old leaves were stopped and %d in all",
+		ended, exposed, succeededAt, s.sent.Load(), failedBefore, s.failed.Load())
 	qt.Check(t, s.state("good"), qt.Equals, "succeeded")
-	seen := s.ran("bad", "v1") - before + exposed
-	qt.Check(t, float64(exposed) <= 0.1*float64(seen)+50, qt.IsTrue, qt.Commentf("%d of %d", exposed, seen))
-	qt.Check(t, s.ran("bad", "v2"), qt.Equals, exposed)
+	for service, earlier := range before {
+		qt.Check(t, s.state(service), qt.Equals, "rolled_back")
+		seen := s.ran(service, "v1") - earlier + exposed[service]
+		qt.Check(t, float64(exposed[service]) <= 0.1*float64(seen)+50, qt.IsTrue, qt.Commentf("%s: %d of %d", service, exposed[service], seen))
+		qt.Check(t, s.ran(service, "v2"), qt.Equals, exposed[service])
+	}
 	qt.Check(t, s.ran("good", "v1"), qt.Equals, atSuccess)
 	qt.Check(t, s.failed.Load(), qt.Equals, failedBefore)
 	qt.Check(t, s.order("good"), qt.Equals, http.StatusOK)
