roller: a leader elected at the end of an order waits for the hosts' reports

Cause: an order of 20 s whose leader was lost 1.6 s before its end was rolled back by the next leader 0.2 s after its election, before any host had reported to it. Change: a leader that has not heard all hosts for 1.5 s decides the outcome at the deadline itself and not 0.4 s before it.

--- a/lib/roller/watch.go
+++ b/lib/roller/watch.go
@@ -266,7 +266,8 @@
 	if full && f.Trial > 0 && due && w.confirmed(f.Hosts, true, now) {
 		return w.end(statev1.RolloutState_ROLLOUT_STATE_SUCCEEDED, "")
 	}
-	if elapsed >= w.schedule.last {
+	// A new leader waits for the reports of the hosts until the deadline itself.
+	if elapsed >= w.schedule.last && w.ready(now) || elapsed >= r.GetDuration().AsDuration() {
 		// What still runs on the old leaves is less than all the traffic that a rollback would move.
 		if full && f.Trial > 0 && w.confirmed(f.Hosts, false, now) {
 			return w.end(statev1.RolloutState_ROLLOUT_STATE_SUCCEEDED, "")
--- a/lib/roller/watch_test.go
+++ b/lib/roller/watch_test.go
@@ -119,17 +119,8 @@
 				return latency, r.Float64() < 0.05
 			}
 		},
-		"leader lost": func(w *world) {
-			w.leaders = func(at time.Duration) int {
-				switch {
-				case at < w.duration/2:
-					return 1
-				case at < w.duration/2+time.Second:
-					return -1
-				}
-				return 2
-			}
-		},
+		"leader lost":            func(w *world) { w.loseLeader(0.5) },
+		"leader lost at the end": func(w *world) { w.loseLeader(0.92) },
 	} {
 		for _, duration := range durations() {
 			// The exposure of a short order does not suffice to move traffic that nearly doubles at its end.
--- a/lib/roller/world_test.go
+++ b/lib/roller/world_test.go
@@ -62,6 +62,20 @@
 	}
 }
 
+// loseLeader leaves the hosts without a leader for a second, after a part of the order.
+func (w *world) loseLeader(part float64) {
+	w.leaders = func(at time.Duration) int {
+		lost := time.Duration(part * float64(w.duration))
+		switch {
+		case at < lost:
+			return 1
+		case at < lost+time.Second:
+			return -1
+		}
+		return 2
+	}
+}
+
 // healthy is a leaf that takes 10 ms, pauses 4% of the time, and is 3 times slower for 10% of the calls.
 func healthy(_ bool, _ string, _ uint32, at time.Duration, r *rand.Rand) (time.Duration, bool) {
 	latency := time.Duration(float64(10*time.Millisecond) * math.Exp(0.3*r.NormFloat64()))
