roller: a test for requests that begin at the full share

Cause: the fault that a random run found (71 of 85 requests reached a bad version, 58 permitted) had only its recorded draws.

--- a/lib/roller/watch_test.go
+++ b/lib/roller/watch_test.go
@@ -180,6 +180,27 @@
 	qt.Check(t, w.state(), qt.Equals, rolledBack)
 }
 
+// Guards against a bad version that exceeds its exposure because requests begin only while it has the full share: the average
+// rate of the last seconds said that there were few. Found by TestExposureStaysWithinItsBound.
+func TestRequestsThatBeginAtTheFullShare(t *testing.T) {
+	w := newWorld(0)
+	w.hosts, w.duration, w.answer = 19, 5*time.Second, faulty(0.25, 1, always)
+	w.rate = func(at time.Duration) float64 {
+		if at < 3500*time.Millisecond || at >= 5250*time.Millisecond {
+			return 0
+		}
+		return 57
+	}
+	w.reachable = func(host int, at time.Duration) bool {
+		from := map[int]time.Duration{14: 20 * time.Millisecond, 18: 3321 * time.Millisecond}[host]
+		return at < from || at > from+time.Duration(host%5)*time.Second
+	}
+	w.leaders = func(at time.Duration) int { return int(at / (4581 * time.Millisecond)) }
+	w.run()
+	within := w.state() == succeeded || float64(w.exposed-w.blind) <= w.permitted()
+	qt.Check(t, within, qt.IsTrue, qt.Commentf("%d of %d, %d without a leader", w.exposed, w.seen, w.blind))
+}
+
 // Guards, with random requests, faults, hosts that are cut off, leaders that are lost and reports that come late, against a
 // version that is exposed to more than the bound without having succeeded, but for the time without a leader, and against an order that leaves its last state.
 func TestExposureStaysWithinItsBound(t *testing.T) {
