--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -54,6 +54,8 @@
 	// reads serves the calls by which followers confirm their state.
 	reads sharedReads
 	clock func() time.Time
+	// rollouts runs the orders for versions of services.
+	rollouts *rollouts
 
 	mu sync.Mutex
 	// followers counts the entry hosts that follow this host. peers holds the state of the other control hosts, by address.
@@ -74,10 +76,13 @@
 
 // New returns a keeper. controlAddress is where this host serves leaves and operators, and peerAddress where it serves
 // other hosts.
-func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time, options ...Option) *Keeper {
+func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time,
+	options ...Option,
+) *Keeper {
 	k := &Keeper{
 		host: host, center: center, controlAddress: controlAddress, peerAddress: peerAddress, store: s, log: log, clock: clock,
 		roster: enroller.New(), losses: quarantiner.NewLedger(), peers: make(map[string]peerStatus), streams: make(map[follower]int),
+		rollouts: newRollouts(),
 	}
 	for _, o := range options {
 		o(k)
