--- a/lib/carrier/carrier.go
+++ b/lib/carrier/carrier.go
@@ -55,6 +55,8 @@
 // Load is the load that a leaf reports.
 type Load struct {
 	Running, Waiting, Slots int
+	// Slowness is the time that work currently takes on the leaf's host, relative to the usual time; 0 if it is unknown.
+	Slowness float64
 }
 
 // Answer is one leaf's response.
