selector: use the slowness that leaves report

Cause: a host noticed a slow leaf after two slow answers and then avoided it for seconds, although hosts change their speed every 600 ms; hosts with the same information chose the same leaf. Change: where leaves report slowness, the expected latency is the reported slowness, which fades to the usual one, times what of the leaf's latency slowness does not explain. Chance grows with the load of a leaf and the age of its report. Leaves without the figure are chosen as before. Ticket.End takes a Report instead of a number of calls; the existing tests pass nil instead of -1 and check the same as before.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -133,7 +133,7 @@
 		end = selector.Unsent
 	}
 	c.cancel()
-	c.ticket.End(end, -1, q.answerer.clock())
+	c.ticket.End(end, nil, q.answerer.clock())
 }
 
 // handleReturned classifies the result of a call and returns the event for the planner.
@@ -155,11 +155,7 @@
 	if r.answer != nil && class.reason != reasonLost && !class.notRun {
 		q.answered = true
 	}
-	load := -1
-	if r.answer != nil && r.answer.Load != nil {
-		load = max(0, r.answer.Load.Running+r.answer.Load.Waiting-1)
-	}
-	r.call.ticket.End(class.end, load, now)
+	r.call.ticket.End(class.end, loadReport(r.answer), now)
 	if class.reason == reasonNone {
 		q.answers[c.Attempt] = r.answer
 		q.answerer.estimate.Observe(q.route.Name, now.Sub(c.Sent))
@@ -171,6 +167,14 @@
 	return planner.Event{Kind: planner.Returned, Result: result}
 }
 
+// loadReport returns what a leaf reports of its load in an answer, or nil if it reports nothing.
+func loadReport(a *carrier.Answer) *selector.Report {
+	if a == nil || a.Load == nil {
+		return nil
+	}
+	return &selector.Report{Others: max(0, a.Load.Running+a.Load.Waiting-1), Slowness: a.Load.Slowness}
+}
+
 // classification describes what the result of a call means for the request and for the leaf.
 type classification struct {
 	reason         callerv1.Reason
--- a/lib/selector/record.go
+++ b/lib/selector/record.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,8 @@
 // Table holds this host's statistics of leaves. It is safe for concurrent use.
 type Table struct {
 	stripes [stripes]stripe
+	// usual is the mean slowness that leaves report, as the bits of a float64; 0 before the first report.
+	usual atomic.Uint64
 }
 
 type stripe struct {
@@ -63,6 +66,10 @@
 	// otherCalls is the number of calls from other hosts that the leaf had when it last reported its load.
 	otherCalls float64
 	loadAt     time.Time
+	// slowness is the slowness that the leaf reported at loadAt, 0 if it reported none.
+	slowness float64
+	// slowSince is since when each report has said that the host is slow; zero if the latest one does not.
+	slowSince time.Time
 	// answered is when the leaf last gave any answer.
 	answered time.Time
 	// failedConnects counts consecutive calls that did not reach the leaf. It is not called before retryAt.
--- a/lib/selector/selector.go
+++ b/lib/selector/selector.go
@@ -25,6 +25,8 @@
 	failureCost = 4.0
 	// maxFailureRate limits the failure rate from which the odds are computed.
 	maxFailureRate = 0.95
+	// jitter is the random share of a cost among leaves that do not report slowness.
+	jitter = 0.02
 )
 
 // maxFailedConnects is the number of consecutive calls that did not reach a leaf after which not even Force permits
@@ -51,60 +53,112 @@
 	ColdInterval time.Duration
 	// Force also permits leaves that were recently unreachable, unless several consecutive calls have failed.
 	Force bool
-	// Random breaks ties.
+	// Random is drawn once for each candidate.
 	Random Random
 }
 
+// Decision is a chosen leaf and what led to the choice.
+type Decision struct {
+	Leaf *cataloguer.Leaf
+	// Cost is the expected cost in units of the latency of a typical call.
+	Cost float64
+	// Slowness is the expected slowness of the leaf's host; 0 if no candidate reports it.
+	Slowness float64
+	// Remote is true when the leaf is in another data centre although one of this host's own could have been called.
+	Remote bool
+}
+
 // Choose returns the leaf with the lowest expected cost. It reports false when no leaf may be called.
 func (t *Table) Choose(c Choice, now time.Time) (*cataloguer.Leaf, bool) {
-	var best *cataloguer.Leaf
-	least := 0.0
+	d, ok := t.Decide(c, now)
+	return d.Leaf, ok
+}
+
+// Decide is like Choose and also returns what led to the choice.
+func (t *Table) Decide(c Choice, now time.Time) (Decision, bool) {
+	var out Decision
+	least, local := 0.0, false
+	forecast := t.reportSlowness(c.Holders, now)
 	for _, l := range c.Holders {
 		if slices.Contains(c.Tried, l.Name) {
 			continue
 		}
-		cost, ok := t.cost(&c, l, now)
+		e, ok := t.estimate(&c, l, forecast, now)
 		if !ok {
 			continue
 		}
-		// Random jitter spreads the calls of hosts with the same statistics over leaves of equal cost.
-		cost *= 1 + 0.02*c.Random()
-		if best == nil || cost < least {
-			best, least = l, cost
+		local = local || l.Center == c.Center
+		if cost := e.draw(c.Random()); out.Leaf == nil || cost < least {
+			out, least = Decision{Leaf: l, Cost: e.work + e.penalty, Slowness: e.slowness}, cost
 		}
 	}
-	return best, best != nil
+	out.Remote = local && out.Leaf.Center != c.Center
+	return out, out.Leaf != nil
+}
+
+// reportSlowness reports whether any of the leaves has reported the slowness of its host in its latest report.
+func (t *Table) reportSlowness(leaves []*cataloguer.Leaf, now time.Time) bool {
+	return t.ReportsSlowness() && slices.ContainsFunc(leaves, func(l *cataloguer.Leaf) bool {
+		r, unlock := t.stats(l.Name, l.Incarnation, now)
+		defer unlock()
+		return r.slowness > 0
+	})
+}
+
+// estimate is what is expected of a call to a leaf.
+type estimate struct {
+	// work is the expected latency, and penalty the cost of everything else.
+	work, penalty float64
+	// slowness is the expected slowness of the leaf's host, 0 if leaves do not report it. chance is then the exponent of the
+	// random factor of work.
+	slowness, chance float64
+}
+
+// draw returns the cost with its random part, which spreads the calls of hosts with the same statistics over leaves of
+// similar cost.
+func (e *estimate) draw(random float64) float64 {
+	if e.slowness == 0 {
+		return (e.work + e.penalty) * (1 + jitter*random)
+	}
+	return e.work*randomFactor(e.chance, random) + e.penalty
 }
 
-// cost estimates the cost of a call to a leaf. It reports false when the leaf must not be called now.
-func (t *Table) cost(c *Choice, l *cataloguer.Leaf, now time.Time) (float64, bool) {
+// estimate estimates a call to a leaf. It reports false when the leaf must not be called now. Forecast is true if any
+// candidate reports slowness.
+func (t *Table) estimate(c *Choice, l *cataloguer.Leaf, forecast bool, now time.Time) (estimate, bool) {
+	var out estimate
 	r, unlock := t.stats(l.Name, l.Incarnation, now)
 	defer unlock()
 	if r.isBarred(now) {
-		return 0, false
+		return out, false
 	}
 	cold := now.Before(l.ColdUntil)
 	if cold && c.ColdInterval > 0 && now.Before(r.nextColdCall) {
-		return 0, false
+		return out, false
 	}
 	backingOff := now.Before(r.retryAt) || r.failedConnects > 0 && len(r.open) > 0
 	if backingOff && (!c.Force || r.failedConnects >= maxFailedConnects) {
-		return 0, false
+		return out, false
 	}
 	slots := float64(max(l.Slots, 1))
 	queue := float64(len(r.open)) + r.expectedOtherCalls(now)
 	wait := max(0, queue+1-slots) / slots
-	out := r.expectedRatio(now)*(1+wait) + busyCost*queue/slots + r.overdue(c.Typical, now)
+	ratio := r.expectedRatio(now)
+	if forecast {
+		out.slowness, out.chance = r.expectedSlowness(t.usualSlowness(), now), r.chance(queue, slots, len(c.Holders), now)
+		ratio *= out.slowness
+	}
+	out.work = ratio*(1+wait) + busyCost*queue/slots
 	failureRate := min(r.expectedFailureRate(now), maxFailureRate)
-	out += failureCost * failureRate / (1 - failureRate)
+	out.penalty = r.overdue(c.Typical, now) + failureCost*failureRate/(1-failureRate)
 	if l.Center != c.Center {
-		out += remoteCost
+		out.penalty += remoteCost
 	}
 	if cold {
-		out += coldCost
+		out.penalty += coldCost
 	}
 	if backingOff {
-		out += failureCost * float64(1+r.failedConnects)
+		out.penalty += failureCost * float64(1+r.failedConnects)
 	}
 	return out, true
 }
--- a/lib/selector/selector_test.go
+++ b/lib/selector/selector_test.go
@@ -44,7 +44,7 @@
 	c := w.choice()
 	k := w.table.Begin(w.leaves[leaf], &c, w.now)
 	w.now = w.now.Add(took)
-	k.End(end, -1, w.now)
+	k.End(end, nil, w.now)
 }
 
 // Guards against unnecessary traffic between data centres, and against queueing at a local leaf while others are idle.
@@ -67,7 +67,7 @@
 	w.now = w.now.Add(3 * typical)
 	qt.Assert(t, w.choose(t), qt.Not(qt.Equals), "a")
 	w.now = w.now.Add(9 * typical)
-	k.End(selector.Answered, -1, w.now)
+	k.End(selector.Answered, nil, w.now)
 	qt.Assert(t, w.choose(t), qt.Equals, "a")
 }
 
@@ -123,7 +123,7 @@
 	probe := w.table.Begin(w.leaves[0], &c, w.now)
 	_, ok = w.table.Choose(w.choice(), w.now)
 	qt.Assert(t, ok, qt.IsFalse)
-	probe.End(selector.Answered, -1, w.now.Add(typical))
+	probe.End(selector.Answered, nil, w.now.Add(typical))
 	qt.Assert(t, w.choose(t), qt.Equals, "a")
 }
 
@@ -173,7 +173,7 @@
 		c.ColdInterval = 500 * time.Millisecond
 		if l, ok := w.table.Choose(c, w.now); ok {
 			sent++
-			w.table.Begin(l, &c, w.now).End(selector.Answered, -1, w.now.Add(typical))
+			w.table.Begin(l, &c, w.now).End(selector.Answered, nil, w.now.Add(typical))
 		}
 		w.now = w.now.Add(typical)
 	}
--- a/lib/selector/ticket.go
+++ b/lib/selector/ticket.go
@@ -49,9 +49,8 @@
 	return &Ticket{table: t, name: l.Name, incarnation: l.Incarnation, sent: now, typical: c.Typical}
 }
 
-// End records the end of the call. Load is the number of calls that the leaf reported with its answer, or negative if
-// it reported none.
-func (k *Ticket) End(end End, load int, now time.Time) {
+// End records the end of the call. Report is the load that the leaf reported with its answer, or nil if it reported none.
+func (k *Ticket) End(end End, report *Report, now time.Time) {
 	r, unlock := k.table.stats(k.name, k.incarnation, now)
 	defer unlock()
 	if r.incarnation != k.incarnation {
@@ -60,14 +59,15 @@
 	if i := slices.Index(r.open, k.sent); i >= 0 {
 		r.open = slices.Delete(r.open, i, i+1)
 	}
-	if load >= 0 {
-		r.otherCalls, r.loadAt = max(0, float64(load-len(r.open))), now
-	}
 	age := now.Sub(k.sent)
+	typical := r.explainedTime(report, k.typical, age, now)
+	if report != nil {
+		k.table.report(r, report, now)
+	}
 	switch end {
 	case Answered:
 		r.recordAnswer(now)
-		r.recordLatency(age, k.typical, now)
+		r.recordLatency(age, typical, now)
 		r.updateFailureRate(0, now)
 	case Shed:
 		r.recordAnswer(now)
@@ -96,7 +96,7 @@
 		r.firstAbandoned = k.sent
 	}
 	r.lastAbandoned = now
-	r.recordLatency(age, k.typical, now)
+	r.recordLatency(age, r.explainedTime(nil, k.typical, age, now), now)
 }
 
 // checkSilence treats a leaf that has accepted no connection for a while as unreachable. A slow leaf does accept
