answerer: save hedges for paused leaves while their budget is scarce

Cause: with 15% of the leaves 2.5 times slower, most hedges went to calls that were merely slow, and the budget of extra calls was used up when a leaf paused. An operator did not see the spread of load. Change: where leaves report slowness, a part of a gathered answer is hedged at the second trigger interval instead of the first while less than half of the budget of its shard is left, and never later than two fifths of the target. Metrics leaf_choice_cost, leaf_choices and postponed_hedges.

--- a/fleetd/answerer/environment.go
+++ b/fleetd/answerer/environment.go
@@ -22,6 +22,11 @@
 	// slowFactor limits the age at which a call is hedged to a multiple of the typical latency. 5% of the calls to a
 	// healthy leaf take at least that long.
 	slowFactor = 1.8
+	// scarceBudget is the share of the budget for extra calls below which hedges are postponed.
+	scarceBudget = 0.5
+	// postponeNumerator/postponeDenominator is the age, in trigger intervals, from which hedges are not postponed. It lies
+	// between the first and the second check of a call.
+	postponeNumerator, postponeDenominator = 3, 2
 	// defaultTarget is used for routes without a target.
 	defaultTarget = time.Second
 )
@@ -49,16 +54,19 @@
 	q := (*query)(e)
 	c := q.choice(shard)
 	c.Holders, c.Tried = q.holders(shard), tried
-	leaf, ok := q.answerer.selector.Choose(c, now)
+	decision, ok := q.answerer.selector.Decide(c, now)
 	if !ok && len(tried) == 0 {
 		if q.skippable() {
 			q.skipped++
 			return planner.Target{}, false
 		}
 		c.Force = true
-		leaf, ok = q.answerer.selector.Choose(c, now)
+		decision, ok = q.answerer.selector.Decide(c, now)
 	}
-	return planner.Target{Leaf: leaf}, ok
+	if ok {
+		q.answerer.metrics.choice(&decision)
+	}
+	return planner.Target{Leaf: decision.Leaf}, ok
 }
 
 // Callable reports whether a leaf still holds the shard and wants requests.
@@ -130,14 +138,54 @@
 	// While some leaves are slow, the percentile lies among their calls; the typical latency still separates slow calls
 	// from normal ones.
 	trigger = min(trigger, time.Duration(slowFactor*float64(q.typical())))
-	return max(minTrigger, min(trigger, q.targetOrDefault()*maxTriggerNumerator/maxTriggerDenominator))
+	return max(minTrigger, min(trigger, q.maxTrigger()))
+}
+
+// maxTrigger returns the greatest age at which a call is hedged, so that the hedge is answered before the target.
+func (q *query) maxTrigger() time.Duration {
+	return q.targetOrDefault() * maxTriggerNumerator / maxTriggerDenominator
 }
 
 // Primary does nothing: primary calls are counted when the request arrives.
 func (*environment) Primary(int) {}
 
-// Hedge spends budget on a hedge to a shard and reports whether there was enough.
-func (e *environment) Hedge(shard uint32) bool { return e.spendBudget(shard) }
+// Hedge spends budget on a hedge to a shard and reports whether there was enough. The planner asks again after another
+// trigger interval.
+func (e *environment) Hedge(shard uint32) bool {
+	if (*query)(e).postponesHedge(shard) {
+		e.answerer.metrics.postponedHedges.Inc(1)
+		return false
+	}
+	return e.spendBudget(shard)
+}
+
+// postponesHedge reports whether a hedge should wait for another trigger interval. Where leaves report slowness, many calls
+// are overdue only because their hosts are slow for a moment, and would use up the budget that calls to paused leaves need.
+// So while little of it is left, a part of a gathered answer is hedged at the second interval, unless that is after the
+// greatest age for a hedge.
+func (q *query) postponesHedge(shard uint32) bool {
+	a := q.answerer
+	if len(q.route.Gather) == 0 || !a.selector.ReportsSlowness() {
+		return false
+	}
+	now, trigger := a.clock(), (*environment)(q).Trigger()
+	age, ok := q.callAge(shard, now)
+	if !ok || age >= trigger*postponeNumerator/postponeDenominator || age+trigger > q.maxTrigger() {
+		return false
+	}
+	return a.budget.Share(q.shards[shard], q.slack(now), now) < scarceBudget
+}
+
+// callAge returns the age of the latest call to a shard that is still running.
+func (q *query) callAge(shard uint32, now time.Time) (time.Duration, bool) {
+	var sent time.Time
+	for _, c := range q.running {
+		if c.planned.Shard == shard && c.planned.Sent.After(sent) {
+			sent = c.planned.Sent
+		}
+	}
+	return now.Sub(sent), !sent.IsZero()
+}
 
 // Unsent reports whether a call is still waiting for a connection.
 func (e *environment) Unsent(c planner.Call) bool {
--- a/fleetd/answerer/metrics.go
+++ b/fleetd/answerer/metrics.go
@@ -8,6 +8,7 @@
 
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/selector"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 )
 
@@ -17,11 +18,22 @@
 	bucketCount = 15
 )
 
+// costBuckets are the buckets of the expected cost of chosen leaves. An idle leaf of the host's own data centre costs 1; from
+// 3 on, calls wait or the leaf is overdue.
+var costBuckets = tally.ValueBuckets{0.5, 1, 1.25, 1.5, 2, 2.5, 3, 4, 6, 10, 20}
+
 type metrics struct {
 	outcomes map[carrier.Outcome]tally.Counter
 	calls    map[planner.CallKind]tally.Counter
 	failures map[callerv1.Reason]tally.Counter
 	latency  tally.Histogram
+	// remoteChoices counts choices of a leaf in another data centre although one in this host's own could have been called,
+	// and preferredChoices counts all others. choiceCost is the expected cost of the chosen leaf, in units of the latency
+	// of a typical call.
+	preferredChoices, remoteChoices tally.Counter
+	choiceCost                      tally.Histogram
+	// postponedHedges counts hedges that waited because the budget was scarce.
+	postponedHedges tally.Counter
 	// portions counts the portions that this host gathered for divided queries.
 	portions tally.Counter
 }
@@ -34,7 +46,11 @@
 	m := &metrics{
 		outcomes: make(map[carrier.Outcome]tally.Counter), calls: make(map[planner.CallKind]tally.Counter),
 		failures: make(map[callerv1.Reason]tally.Counter), portions: s.Counter("portions"),
-		latency: s.Histogram("request_duration", tally.MustMakeExponentialDurationBuckets(firstBucket, 2, bucketCount)),
+		preferredChoices: s.Tagged(map[string]string{"leaf": "preferred"}).Counter("leaf_choices"),
+		remoteChoices:    s.Tagged(map[string]string{"leaf": "remote"}).Counter("leaf_choices"),
+		choiceCost:       s.Histogram("leaf_choice_cost", costBuckets),
+		postponedHedges:  s.Counter("postponed_hedges"),
+		latency:          s.Histogram("request_duration", tally.MustMakeExponentialDurationBuckets(firstBucket, 2, bucketCount)),
 	}
 	for outcome, name := range outcomeNames {
 		m.outcomes[outcome] = s.Tagged(map[string]string{"outcome": name}).Counter("requests")
@@ -58,6 +74,15 @@
 	m.calls[kind].Inc(1)
 }
 
+func (m *metrics) choice(d *selector.Decision) {
+	m.choiceCost.RecordValue(d.Cost)
+	if d.Remote {
+		m.remoteChoices.Inc(1)
+		return
+	}
+	m.preferredChoices.Inc(1)
+}
+
 func (m *metrics) fail(reason callerv1.Reason) {
 	if c, ok := m.failures[reason]; ok {
 		c.Inc(1)
--- a/lib/budgeter/window.go
+++ b/lib/budgeter/window.go
@@ -77,6 +77,21 @@
 	return w.ratio*float64(requests) + slack - float64(extras)
 }
 
+// Share returns the share of the permitted extra calls that is left now, from 0 to 1.
+func (w *Window) Share(service string, slack float64, now time.Time) float64 {
+	p := w.stripe(service)
+	p.Lock()
+	defer p.Unlock()
+	number := w.bucketNumber(now)
+	s, _ := p.current(service, number)
+	requests, extras := s.sum(number)
+	permitted := w.ratio*float64(requests) + slack
+	if permitted <= 0 {
+		return 0
+	}
+	return max(0, 1-float64(extras)/permitted)
+}
+
 // bucketNumber returns the number of the bucket for a time.
 func (w *Window) bucketNumber(now time.Time) int64 {
 	return now.UnixNano() / int64(w.length/bucketCount)
--- a/lib/budgeter/window_test.go
+++ b/lib/budgeter/window_test.go
@@ -1,6 +1,7 @@
 package budgeter_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -59,3 +60,20 @@
 	qt.Assert(t, w.Spend("desk", 2, start.Add(10*time.Second)), qt.IsTrue)
 	qt.Assert(t, w.Remaining("desk", 2, start.Add(10*time.Second)), qt.Equals, 0.0)
 }
+
+// Guards against a share of the budget that differs from what Spend still permits, and against one without any requests.
+func TestShareOfTheBudget(t *testing.T) {
+	w := budgeter.NewWindow(10*time.Second, 0.2)
+	now := time.Unix(1000, 0)
+	qt.Assert(t, w.Share("desk", 0, now), qt.Equals, 0.0)
+	for range 40 {
+		w.Request("desk", now)
+	}
+	for left := 10; left > 0; left-- {
+		qt.Assert(t, math.Abs(w.Share("desk", 2, now)-float64(left)/10) < 1e-9, qt.IsTrue)
+		qt.Assert(t, w.Spend("desk", 2, now), qt.IsTrue)
+	}
+	qt.Assert(t, w.Spend("desk", 2, now), qt.IsFalse)
+	qt.Assert(t, w.Share("desk", 2, now), qt.Equals, 0.0)
+	qt.Assert(t, w.Share("desk", 2, now.Add(10*time.Second)), qt.Equals, 1.0)
+}
