journaler: make recovered files durable before their content counts

Cause: a process that is killed between a write and its sync leaves a frame that the next process reads. Open took it as durable without a sync, and removed files that a rename had made obsolete without syncing the folder.

The same for the roster of leaves (lib/enroller) and the record of answers (lib/recorder), which acknowledges batches that are stored already. FileSystem gets Persist.

--- a/lib/enroller/enroller_test.go
+++ b/lib/enroller/enroller_test.go
@@ -133,6 +133,36 @@
 	qt.Assert(t, count, qt.Equals, 0)
 }
 
+// syncs records what is made durable in a folder.
+type syncs struct {
+	*journaler.Folder
+	seen []string
+}
+
+func (s *syncs) Persist(name string) error {
+	s.seen = append(s.seen, name)
+	return s.Folder.Persist(name)
+}
+
+func (s *syncs) Sync() error {
+	s.seen = append(s.seen, "folder")
+	return s.Folder.Sync()
+}
+
+// A control host is killed before its last rename is durable. Guards against a roster that counts after the restart and is
+// taken back by a loss of power.
+func TestLoadedRosterIsDurable(t *testing.T) {
+	folder, err := journaler.OpenFolder(t.TempDir())
+	qt.Assert(t, err, qt.IsNil)
+	r := enroller.New()
+	r.Put(leaf("x", 10, 7, "10.0.0.1:80"), start)
+	qt.Assert(t, r.Save(folder), qt.IsNil)
+	s := &syncs{Folder: folder}
+	_, err = enroller.New().Load(s, start)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.seen, qt.DeepEquals, []string{"roster", "folder"})
+}
+
 // Guards against a departure that is lost when all control hosts restart.
 func TestDeparturesSurviveASnapshot(t *testing.T) {
 	d := enroller.NewDepartures()
--- a/lib/enroller/file.go
+++ b/lib/enroller/file.go
@@ -58,10 +58,13 @@
 // Load adds the leaves that were saved in a folder to the roster and returns their number. A missing or damaged file
 // is not fatal, because the leaves announce themselves again.
 func (r *Roster) Load(folder journaler.FileSystem, now time.Time) (int, error) {
-	data, err := folder.Read(fileName)
+	data, err := journaler.ReadDurable(folder, fileName)
 	if errors.Is(err, os.ErrNotExist) {
 		return 0, nil
 	}
+	if err == nil {
+		err = folder.Sync() // The last rename may not be durable yet.
+	}
 	if err != nil {
 		return 0, oops.In("enroller").Wrapf(err, "read the roster")
 	}
--- a/lib/journaler/fake_test.go
+++ b/lib/journaler/fake_test.go
@@ -69,6 +69,14 @@
 	return &file{disk: d, content: c}, nil
 }
 
+func (d *disk) Persist(name string) error {
+	if err := d.useBudget(); err != nil {
+		return err
+	}
+	d.names[name].synced = len(d.names[name].data)
+	return nil
+}
+
 func (d *disk) Truncate(name string, size int64) error {
 	c := d.names[name]
 	c.data = c.data[:size]
--- a/lib/journaler/file.go
+++ b/lib/journaler/file.go
@@ -18,6 +18,8 @@
 	Read(name string) ([]byte, error)
 	// Create creates a file for writing and truncates an existing one.
 	Create(name string) (File, error)
+	// Persist makes the content of an existing file durable, whichever process wrote it.
+	Persist(name string) error
 	// Truncate truncates a file to a size and syncs it.
 	Truncate(name string, size int64) error
 	// Rename renames a file atomically and replaces an existing one.
@@ -102,6 +104,25 @@
 	return os.OpenFile(filepath.Join(f.path, name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
 }
 
+// Persist syncs the content of a file.
+func (f *Folder) Persist(name string) error {
+	file, err := os.OpenFile(filepath.Join(f.path, name), os.O_WRONLY, fileMode)
+	if err != nil {
+		return oops.In("journaler").Wrap(err)
+	}
+	return errors.Join(file.Sync(), file.Close())
+}
+
+// ReadDurable returns the content of a file and makes it durable first. A process that was killed between a write and its sync
+// leaves content that a loss of power takes back. The error is os.ErrNotExist when there is no file.
+func ReadDurable(fs FileSystem, name string) ([]byte, error) {
+	data, err := fs.Read(name)
+	if err != nil {
+		return nil, err
+	}
+	return data, fs.Persist(name)
+}
+
 // Truncate truncates a file and syncs it.
 func (f *Folder) Truncate(name string, size int64) error {
 	file, err := os.OpenFile(filepath.Join(f.path, name), os.O_WRONLY, fileMode)
--- a/lib/journaler/journaler.go
+++ b/lib/journaler/journaler.go
@@ -7,6 +7,9 @@
 // cannot be distinguished from a torn one (Alagappan et al., Protocol-Aware Recovery for Consensus-Based
 // Storage, FAST 2018, section 3.3).
 //
+// A process that was killed leaves files whose last bytes and names may not be durable yet, although the next
+// process reads them. Open therefore syncs every file that it reads, and the folder, before their content counts.
+//
 // After a failed write or sync, the state of the file is unknown and a further sync may wrongly succeed
 // (Rebello et al., Can Applications Recover from fsync Failures?, USENIX ATC 2020). The journal therefore
 // rejects every operation after the first failure.
@@ -66,7 +69,7 @@
 	failed        error
 }
 
-// Open reads the files, removes a torn tail and returns the durable content. The error is a *DamageError when synced
+// Open reads the files, makes them durable, removes a torn tail and returns the content. The error is a *DamageError when synced
 // data is unreadable.
 func Open(fs FileSystem) (*Journal, *Content, error) {
 	names, err := fs.List()
@@ -75,6 +78,10 @@
 	}
 	slices.Sort(names)
 	j, c := &Journal{fs: fs}, &Content{State: &statev1.HardState{}}
+	// The names must be durable before the files that a rename has made obsolete are removed.
+	if err := fs.Sync(); err != nil {
+		return nil, nil, oops.In("journaler").Wrapf(err, "sync the data folder")
+	}
 	if err := j.readState(c); err != nil {
 		return nil, nil, err
 	}
@@ -88,7 +95,7 @@
 }
 
 func (j *Journal) readState(c *Content) error {
-	data, err := j.fs.Read(stateName)
+	data, err := ReadDurable(j.fs, stateName)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
@@ -111,7 +118,7 @@
 	if _, err := fmt.Sscanf(j.snapshot, snapshotPrefix+"%d-%d", new(uint64), &j.firstSequence); err != nil {
 		return &DamageError{File: j.snapshot, Text: "not the name of a snapshot"}
 	}
-	data, err := j.fs.Read(j.snapshot)
+	data, err := ReadDurable(j.fs, j.snapshot)
 	if err != nil {
 		return oops.In("journaler").Wrapf(err, "read %s", j.snapshot)
 	}
@@ -157,7 +164,7 @@
 }
 
 func (j *Journal) readSegment(name string, last bool, c *Content) error {
-	data, err := j.fs.Read(name)
+	data, err := ReadDurable(j.fs, name)
 	if err != nil {
 		return oops.In("journaler").Wrapf(err, "read %s", name)
 	}
--- a/lib/recorder/store.go
+++ b/lib/recorder/store.go
@@ -73,7 +73,7 @@
 
 // index reads the spans of a segment.
 func (s *Store) index(g *segment) error {
-	data, err := s.fs.Read(g.name)
+	data, err := journaler.ReadDurable(s.fs, g.name) // A batch that is stored already is acknowledged.
 	if err != nil {
 		return oops.In("recorder").Wrapf(err, "read %s", g.name)
 	}
