--- a/controld/replica/replica.go
+++ b/controld/replica/replica.go
@@ -27,7 +27,8 @@
 type Machine interface {
 	Apply(index uint64, command *statev1.Command) *statev1.Result
 	Snapshot() ([]byte, error)
-	Restore(state []byte) error
+	// Restore replaces the state with a snapshot that includes the log up to an index.
+	Restore(index uint64, state []byte) error
 }
 
 // Peer is an initial member of the group.
@@ -151,7 +152,7 @@
 		return err
 	}
 	if s := content.Snapshot; s != nil {
-		if err := r.machine.Restore(s.GetState()); err != nil {
+		if err := r.machine.Restore(s.GetIndex(), s.GetState()); err != nil {
 			return oops.In("replica").Wrapf(err, "restore the snapshot")
 		}
 		r.applied = s.GetIndex()
@@ -306,7 +307,7 @@
 	r.core.Persisted(r.config.Clock())
 	r.send(ready.Messages)
 	if s := ready.Snapshot; s != nil {
-		if err := r.machine.Restore(s.GetState()); err != nil {
+		if err := r.machine.Restore(s.GetIndex(), s.GetState()); err != nil {
 			return oops.In("replica").Wrapf(err, "restore the leader's snapshot")
 		}
 		r.applied, r.snapshotIndex = s.GetIndex(), s.GetIndex()
--- a/controld/store/bench_test.go
+++ b/controld/store/bench_test.go
@@ -77,7 +77,7 @@
 			})
 			b.Run("restore", func(b *testing.B) {
 				for b.Loop() {
-					err = store.NewMachine().Restore(data)
+					err = store.NewMachine().Restore(1, data)
 				}
 			})
 			qt.Assert(b, err, qt.IsNil)
@@ -290,7 +290,7 @@
 	})
 	b.Run("restore", func(b *testing.B) {
 		for b.Loop() {
-			err = store.NewMachine().Restore(data)
+			err = store.NewMachine().Restore(1, data)
 		}
 	})
 	qt.Assert(b, err, qt.IsNil)
--- a/controld/store/cluster_test.go
+++ b/controld/store/cluster_test.go
@@ -120,7 +120,7 @@
 	if n.cluster.percentChance(3) {
 		data, err := n.machine.Snapshot()
 		if err == nil {
-			err = n.machine.Restore(data)
+			err = n.machine.Restore(uint64(n.applied()), data)
 		}
 		if err != nil {
 			panic(err)
--- a/controld/store/evacuate_test.go
+++ b/controld/store/evacuate_test.go
@@ -22,7 +22,7 @@
 	data, err := m.Snapshot()
 	qt.Assert(t, err, qt.IsNil)
 	out := store.NewMachine()
-	qt.Assert(t, out.Restore(data), qt.IsNil)
+	qt.Assert(t, out.Restore(3, data), qt.IsNil)
 	return out
 }
 
--- a/controld/store/machine.go
+++ b/controld/store/machine.go
@@ -132,8 +132,9 @@
 	return state, m.ledger.Freeze()
 }
 
-// Restore replaces the complete state. After an error the machine must not be used.
-func (m *Machine) Restore(data []byte) error {
+// Restore replaces the complete state with a snapshot that includes the log up to an index. Hosts that follow this one ignore
+// state with a lower index than they have seen. After an error the machine must not be used.
+func (m *Machine) Restore(index uint64, data []byte) error {
 	state := &statev1.State{}
 	if err := proto.Unmarshal(data, state); err != nil {
 		return oops.In("store").Wrapf(err, "decode the snapshot")
@@ -149,6 +150,7 @@
 	m.documents.Load(state)
 	m.loadEvacuated(state)
 	m.departures.Load(state)
+	m.index = index
 	m.notifyChanged()
 	m.members = state.GetMembers()
 	m.time = time.Time{}
--- a/controld/store/machine_test.go
+++ b/controld/store/machine_test.go
@@ -34,7 +34,7 @@
 	data, err := m.Snapshot()
 	qt.Assert(t, err, qt.IsNil)
 	m = store.NewMachine()
-	qt.Assert(t, m.Restore(data), qt.IsNil)
+	qt.Assert(t, m.Restore(1, data), qt.IsNil)
 	qt.Assert(t, apply(start, "d").GetReason(), qt.Equals, callerv1.Reason_REASON_KEY_EXPIRED)
 	command := &statev1.Command{}
 	m.Stamp(command, start)
@@ -46,8 +46,8 @@
 	m := store.NewMachine()
 	data, err := m.Snapshot()
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, store.NewMachine().Restore(data[:len(data)-1]), qt.IsNotNil)
-	qt.Assert(t, store.NewMachine().Restore(nil), qt.IsNotNil)
+	qt.Assert(t, store.NewMachine().Restore(1, data[:len(data)-1]), qt.IsNotNil)
+	qt.Assert(t, store.NewMachine().Restore(1, nil), qt.IsNotNil)
 }
 
 // Guards against late hosts that InForce does not return, and against older reports that overwrite newer ones.
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -47,6 +47,8 @@
 	controls int
 	hosts    []*peerv1.EntryHost
 	centers  []string
+	// listed is the index with which the evacuated data centres were last sent.
+	listed   uint64
 	departed map[string]uint64
 	// losses is the revision of the loss ledger up to which losses have been sent.
 	losses uint64
@@ -117,6 +119,9 @@
 	if !changed {
 		return nil
 	}
+	if m.GetEvacuated() != nil {
+		f.centers, f.listed = view.Evacuated, view.Index
+	}
 	f.started, f.settled, f.isolated, f.revision, f.entries, f.sent = true, m.GetSettled(), m.GetAlone(), batch.Revision, m.GetEntries(), now
 	f.losses = revision
 	return m
@@ -148,10 +153,11 @@
 		f.version = view.Document.GetVersion()
 		changed = true
 	}
-	if !f.started || !slices.Equal(f.centers, view.Evacuated) {
+	// A follower ignores a list with a lower index than it has seen, so the list is sent again with each higher one. That alone
+	// does not cause a message.
+	if same := f.started && slices.Equal(f.centers, view.Evacuated); !same || view.Index > f.listed {
 		m.Evacuated = &peerv1.Evacuated{Centers: view.Evacuated}
-		f.centers = view.Evacuated
-		changed = true
+		changed = changed || !same
 	}
 	for leaf, born := range view.Departures {
 		if f.departed[leaf] < born {
