enroller: a heartbeat of an unknown service takes no address

Cause: a record with a newer start took the address of its record from any other leaf, whatever its service was, and marked that leaf as leaving for as long as its incarnation lasted.

Change: a leaf holds an address only for a service that the configuration names. The roster asks its owner (keeper and follower, which know the configuration) by a function; all services count as named before the first configuration. A leaf whose address belongs to a newer incarnation is displaced instead of gone: its records are stored and forwarded, and each host determines the holder from the records it knows, again after each configuration. A holder that this control host has not heard for 15 s, while the displaced leaf sent it heartbeats throughout, loses the address for good, and the next heartbeat of the displaced leaf counts. A heartbeat of an unnamed service that carries the name of a leaf of a named one is contradictory: it neither replaces the leaf nor records its departure.

TestAddressBelongsToTheNewestIncarnation is unchanged and passes. lib/enroller, lib/router, fleetd/follower and fleetd/keeper pass, also with -race.

--- a/controld/store/document.go
+++ b/controld/store/document.go
@@ -48,6 +48,13 @@
 	return s.machine.documents.Current(), nil
 }
 
+// Current returns the document in force in the local state, or nil when there is none. It works without a majority.
+func (s *Store) Current() *statev1.Document {
+	s.machine.mu.RLock()
+	defer s.machine.mu.RUnlock()
+	return s.machine.documents.Current()
+}
+
 // Changes returns the audit trail of documents and evacuations, oldest entry first. The read is linearizable.
 func (s *Store) Changes(ctx context.Context) ([]*statev1.Change, error) {
 	if err := s.log.Barrier(ctx); err != nil {
--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -21,7 +21,9 @@
 	// onLosses receives the reported requests that are suspected of crashing the leaves that run them.
 	onLosses func(losses []*peerv1.Loss, now time.Time)
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// table is that of the view. It is nil before the first configuration.
+	table      *router.Table
 	roster     *enroller.Roster
 	departures *enroller.Departures
 	// index is the highest log index seen in a message.
@@ -41,9 +43,9 @@
 // New returns a follower with an empty view.
 func New(decode Decoder, now time.Time, options ...Option) *Follower {
 	f := &Follower{
-		decode: decode, roster: enroller.New(), departures: enroller.NewDepartures(),
-		onLosses: func([]*peerv1.Loss, time.Time) {},
+		decode: decode, departures: enroller.NewDepartures(), onLosses: func([]*peerv1.Loss, time.Time) {},
 	}
+	f.roster = enroller.New(enroller.WithServices(func(service string) bool { return f.table == nil || f.table.Names(service) }))
 	for _, o := range options {
 		o(f)
 	}
@@ -62,7 +64,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := *f.view.Load()
-	changed := f.applyLeaves(m.GetLeaves(), now)
+	changed := false
 	if m.GetIndex() >= f.index {
 		f.index = m.GetIndex()
 		next.Index = m.GetIndex()
@@ -72,7 +74,10 @@
 	}
 	if d := m.GetDocument(); d.GetVersion() > next.Version() {
 		f.applyDocument(&next, d.GetBody(), now)
+		f.table = next.Table
+		changed = f.roster.Settle() || changed
 	}
+	changed = f.applyLeaves(m.GetLeaves(), now) || changed
 	if m.GetEntries() > 0 {
 		next.Entries = int(m.GetEntries())
 	}
--- a/fleetd/follower/follower_test.go
+++ b/fleetd/follower/follower_test.go
@@ -107,3 +107,26 @@
 	f.Apply(&peerv1.FollowResponse{}, later)
 	qt.Assert(t, f.View().IsIsolated(minDuration, later.Add(time.Hour)), qt.IsFalse)
 }
+
+// Another writer announces the address of a sound leaf for a service that no configuration names. Guards against a sound leaf
+// that is no longer called, whether the configuration arrives before the claim or after it.
+func TestUnknownServiceTakesNoAddress(t *testing.T) {
+	named := func(body []byte) (*router.Document, error) {
+		d, err := decode(body)
+		if err == nil {
+			d.Services = []router.Service{{Name: "desk"}}
+		}
+		return d, err
+	}
+	configuration := &peerv1.FollowResponse{Document: document(7)}
+	foreign := leaf("odd", 9, "a", "10.0.0.1:80")
+	foreign.Service = "nobody"
+	claim := &peerv1.FollowResponse{Leaves: []*peerv1.RosterLeaf{leaf("x", 1, "a", "10.0.0.1:80"), foreign}}
+	for _, messages := range [][]*peerv1.FollowResponse{{configuration, claim}, {claim, configuration}} {
+		f := follower.New(named, start)
+		for _, m := range messages {
+			f.Apply(m, start)
+		}
+		qt.Check(t, names(f), qt.DeepEquals, []string{"x"})
+	}
+}
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -52,6 +53,9 @@
 	// losses tracks requests that are suspected of crashing the leaves that run them.
 	losses *quarantiner.Ledger
 	clock  func() time.Time
+	decode Decoder
+	// table is that of the newest document that was decoded.
+	table atomic.Pointer[router.Table]
 
 	mu sync.Mutex
 	// followers counts the entry hosts that follow this host. peers holds the state of the other control hosts, by address.
@@ -70,13 +74,47 @@
 	peerAddress    string
 }
 
+// Decoder decodes and validates a configuration document.
+type Decoder func(body []byte) (*router.Document, error)
+
+// Option configures a keeper.
+type Option func(*Keeper)
+
+// WithDecoder sets the function with which the keeper learns the services that the configuration names. Without it, all
+// services count as named.
+func WithDecoder(decode Decoder) Option {
+	return func(k *Keeper) { k.decode = decode }
+}
+
 // New returns a keeper. controlAddress is where this host serves leaves and operators, and peerAddress where it serves
 // other hosts.
-func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time) *Keeper {
-	return &Keeper{
+func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time, options ...Option) *Keeper {
+	k := &Keeper{
 		host: host, center: center, controlAddress: controlAddress, peerAddress: peerAddress, store: s, log: log, clock: clock,
-		roster: enroller.New(), losses: quarantiner.NewLedger(), peers: make(map[string]peerStatus), streams: make(map[follower]int),
+		losses: quarantiner.NewLedger(), peers: make(map[string]peerStatus), streams: make(map[follower]int),
 	}
+	k.roster = enroller.New(enroller.WithServices(k.named))
+	for _, o := range options {
+		o(k)
+	}
+	return k
+}
+
+// named reports whether the configuration in force names a service. All services count as named while there is none.
+func (k *Keeper) named(service string) bool {
+	if k.decode == nil {
+		return true
+	}
+	table, current := k.table.Load(), k.store.Current()
+	if current != nil && (table == nil || table.Version() != current.GetVersion()) {
+		document, err := k.decode(current.GetBody())
+		if err != nil {
+			return true // Another program has validated it. Nothing is known of its services.
+		}
+		table = router.NewTable(document)
+		k.table.Store(table)
+	}
+	return table == nil || table.Names(service)
 }
 
 // Settled reports whether this host has recently been in contact with a leader.
@@ -131,6 +169,10 @@
 	now := k.clock()
 	k.noteContact(l.Center, now)
 	if l.Leaving {
+		if known, ok := k.roster.Find(l.Name); ok && k.named(known.Service) && !k.named(l.Service) {
+			k.logContradiction(l, now) // It says nothing about a leaf of another service.
+			return netip.AddrPort{}, nil
+		}
 		k.roster.Put(l, now)
 		return netip.AddrPort{}, k.Leave(ctx, l.Name, l.Born)
 	}
@@ -142,12 +184,16 @@
 		eventer.LeafUpdated.Log(now, "leaf", l.Name, "born", l.Born, "sequence", l.Sequence, "service", l.Service,
 			"address", l.Address.String(), "center", l.Center, "cold", l.ColdUntil.Sub(now))
 	case enroller.Conflicting:
-		eventer.HeartbeatContradictory.Log(now, "leaf", l.Name, "born", l.Born, "sequence", l.Sequence, "service", l.Service, "address", l.Address.String())
+		k.logContradiction(l, now)
 	case enroller.Same, enroller.Stale:
 	}
 	return k.controlAddressIn(l.Center, now), nil
 }
 
+func (*Keeper) logContradiction(l *enroller.Leaf, now time.Time) {
+	eventer.HeartbeatContradictory.Log(now, "leaf", l.Name, "born", l.Born, "sequence", l.Sequence, "service", l.Service, "address", l.Address.String())
+}
+
 // Reasons why a departure without the start of the incarnation is not recorded.
 var (
 	errLeafGone    = errors.New("the leaf no longer waits for the acknowledgement")
--- a/fleetd/keeper/keeper_test.go
+++ b/fleetd/keeper/keeper_test.go
@@ -92,6 +92,36 @@
 	qt.Assert(t, w.store.Departed("x", 6), qt.IsFalse)
 }
 
+// Another writer sends heartbeats for a service that no configuration names, with the address or the name of a sound leaf.
+// Guards against a sound leaf that goes out of use.
+func TestHeartbeatOfAnUnknownServiceChangesNoOtherLeaf(t *testing.T) {
+	ctx := context.Background()
+	w := newFixture()
+	decode := func([]byte) (*router.Document, error) {
+		return &router.Document{Version: 7, Services: []router.Service{{Name: "desk"}}}, nil
+	}
+	k := keeper.New("core-1", "a", netip.MustParseAddrPort("10.0.0.1:80"), "10.0.0.1:7000", w.store, w, func() time.Time { return w.now }, keeper.WithDecoder(decode))
+	qt.Assert(t, k.Put(ctx, &router.Document{Version: 7}, []byte("seven"), "op"), qt.IsNil)
+	_, err := k.Heartbeat(ctx, leaf(5, 1, false))
+	qt.Assert(t, err, qt.IsNil)
+	address, name, leaving := leaf(9, 1, false), leaf(9, 1, false), leaf(9, 1, true)
+	address.Name, address.Service, name.Service, leaving.Service = "odd", "nobody", "nobody", "nobody"
+	for _, foreign := range []*enroller.Leaf{address, name, leaving} {
+		_, err := k.Heartbeat(ctx, foreign)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, w.store.Departed("x", 5), qt.IsFalse)
+	out := newRecorder()
+	defer out.cancel()
+	go func() { _ = keeper.NewService(k, nil).Follow(&peerv1.FollowRequest{Host: "entry", Center: "a"}, out) }()
+	for _, l := range (<-out.sent).GetLeaves() {
+		if l.GetLeaf() == "x" {
+			qt.Assert(t, l.GetBorn(), qt.Equals, uint64(5))
+			qt.Assert(t, l.GetLeaving(), qt.IsFalse)
+		}
+	}
+}
+
 // Guards against a departure without a start time that removes the wrong incarnation.
 func TestLeaveWithoutAStartMeansTheKnownIncarnation(t *testing.T) {
 	ctx := context.Background()
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -68,7 +68,8 @@
 	running, stop := context.WithCancel(context.Background())
 	logDone := make(chan error, 1)
 	go func() { logDone <- log.Run(running) }()
-	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), store.New(machine, proposer{log}, clock), log, clock)
+	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), store.New(machine, proposer{log}, clock), log, clock,
+		keeper.WithDecoder(platform.DecodeDocument))
 	go controlKeeper.Run(running, folder)
 	go controlKeeper.FollowPeers(running, s.controls)
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
--- a/lib/enroller/enroller.go
+++ b/lib/enroller/enroller.go
@@ -3,7 +3,7 @@
 //
 // A leaf is identified by its name and the start of its incarnation (born). Within an incarnation its heartbeats are
 // ordered by their sequence. Service, address and data centre of an incarnation never change. An address belongs to
-// the newest incarnation that announced it.
+// the newest incarnation that announced it for a service that the configuration names; see claim.go.
 package enroller
 
 import (
@@ -36,8 +36,11 @@
 	Center   string
 	Program  string
 	Slots    int
-	// Leaving is set once the incarnation has announced its departure.
+	// Leaving is set once the incarnation has announced its departure, and while it is displaced.
 	Leaving bool
+	// Displaced is set while a newer incarnation of another leaf holds the address. Unlike a departure it can end, and each host
+	// determines it from the records that it knows.
+	Displaced bool
 	// ColdUntil is the time from which the leaf expects to be warm.
 	ColdUntil time.Time
 }
@@ -64,10 +67,16 @@
 	revision, refreshed uint64
 	lastHeartbeat       time.Time
 	lastForwarded       time.Time
+	// heardSince is the first heartbeat that this host received from the displaced leaf itself after the last one of the leaf
+	// that holds its address.
+	heardSince time.Time
 }
 
 // Roster holds the records of all leaves that a control host knows. It is safe for concurrent use.
 type Roster struct {
+	// named reports whether the configuration names a service.
+	named func(service string) bool
+
 	mu        sync.Mutex
 	leaves    map[string]*entry
 	addresses map[netip.AddrPort]string
@@ -77,48 +86,74 @@
 	changed chan struct{}
 }
 
+// Option configures a roster.
+type Option func(*Roster)
+
+// WithServices sets the function that reports whether the configuration names a service. It must return true for every service
+// as long as there is no configuration. By default all services are named.
+func WithServices(named func(service string) bool) Option {
+	return func(r *Roster) { r.named = named }
+}
+
 // New returns an empty roster.
-func New() *Roster {
-	return &Roster{leaves: make(map[string]*entry), addresses: make(map[netip.AddrPort]string), changed: make(chan struct{})}
+func New(options ...Option) *Roster {
+	r := &Roster{
+		leaves: make(map[string]*entry), addresses: make(map[netip.AddrPort]string), changed: make(chan struct{}),
+		named: func(string) bool { return true },
+	}
+	for _, o := range options {
+		o(r)
+	}
+	return r
 }
 
 // Put adds a record that was received from the leaf itself.
 func (r *Roster) Put(l *Leaf, now time.Time) Verdict {
-	return r.update(l, RefreshInterval, now)
+	return r.update(l, true, now)
 }
 
-// update adds a record. An unchanged record is forwarded again after the interval.
-func (r *Roster) update(l *Leaf, interval time.Duration, now time.Time) Verdict {
+// update adds a record, received from the leaf itself (direct) or from another host.
+func (r *Roster) update(l *Leaf, direct bool, now time.Time) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old := r.leaves[l.Name]
+	old, verdict := r.leaves[l.Name], Changed
 	if old != nil {
-		if verdict := compare(l, old.leaf, now); verdict != Changed {
-			if verdict == Same {
-				r.touch(old, l, interval, now)
-			}
-			return verdict
+		verdict = r.compare(l, old.leaf, now)
+	}
+	if verdict == Stale || verdict == Conflicting {
+		return verdict
+	}
+	if holder := r.rival(l); holder != nil && !l.Leaving {
+		if !newer(l, holder.leaf) && !r.lapsed(holder, old, direct, now) {
+			r.storeDisplaced(l, old, direct, now)
+			return Stale
 		}
+		r.dispossess(holder, l)
 	}
-	if !r.claimAddress(l) {
-		return Stale
+	if verdict == Same && !old.leaf.Displaced {
+		r.touch(old, l, direct, now)
+		r.assign(l)
+		return Same
 	}
 	r.store(l, now)
 	return Changed
 }
 
 // compare classifies a record by comparing it with the known one of the same leaf.
-func compare(l, old *Leaf, now time.Time) Verdict {
+func (r *Roster) compare(l, old *Leaf, now time.Time) Verdict {
+	gone := old.Leaving && !old.Displaced
 	switch {
 	case l.Born < old.Born:
 		return Stale
+	case l.Service != old.Service && r.named(old.Service) && !r.named(l.Service):
+		return Conflicting // It says nothing about a leaf of another service.
 	case l.Born > old.Born:
 		return Changed
 	case l.Service != old.Service || l.Address != old.Address || l.Center != old.Center:
 		return Conflicting
-	case old.Leaving && !l.Leaving:
+	case gone && !l.Leaving:
 		return Stale
-	case l.Leaving && !old.Leaving:
+	case l.Leaving && !gone:
 		return Changed
 	case l.Sequence <= old.Sequence:
 		return Stale
@@ -137,26 +172,6 @@
 	return (next - before).Abs() > coldTolerance
 }
 
-// claimAddress marks another leaf with the same address as leaving if its incarnation is older. It returns false when
-// that incarnation is newer, unless the claiming leaf is itself leaving.
-func (r *Roster) claimAddress(l *Leaf) bool {
-	name, ok := r.addresses[l.Address]
-	if !ok || name == l.Name {
-		return true
-	}
-	holder := r.leaves[name]
-	if holder == nil || holder.leaf.Leaving || holder.leaf.Address != l.Address {
-		return true
-	}
-	if holder.leaf.Born > l.Born {
-		return l.Leaving
-	}
-	leaving := *holder.leaf
-	leaving.Leaving = true
-	r.put(holder, &leaving)
-	return true
-}
-
 func (r *Roster) store(l *Leaf, now time.Time) {
 	e := r.leaves[l.Name]
 	if e == nil {
@@ -165,9 +180,7 @@
 	}
 	e.lastHeartbeat, e.lastForwarded = now, now
 	r.put(e, l)
-	if !l.Leaving {
-		r.addresses[l.Address] = l.Name
-	}
+	r.assign(l)
 }
 
 // put replaces the record of an entry and notifies the followers.
@@ -179,7 +192,11 @@
 }
 
 // touch records a heartbeat without changes. Other control hosts are informed at most once per interval.
-func (r *Roster) touch(e *entry, l *Leaf, interval time.Duration, now time.Time) {
+func (r *Roster) touch(e *entry, l *Leaf, direct bool, now time.Time) {
+	interval := RelayInterval
+	if direct {
+		interval = RefreshInterval
+	}
 	e.leaf, e.lastHeartbeat = l, now
 	if now.Sub(e.lastForwarded) < interval {
 		return
@@ -194,11 +211,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.leaves[name]
-	if e == nil || e.leaf.Born > born || e.leaf.Leaving {
+	if e == nil || e.leaf.Born > born || e.leaf.Leaving && !e.leaf.Displaced {
 		return
 	}
 	leaving := *e.leaf
-	leaving.Leaving = true
+	leaving.Leaving, leaving.Displaced = true, false
 	e.lastHeartbeat = now
 	r.put(e, &leaving)
 }
--- a/lib/enroller/file.go
+++ b/lib/enroller/file.go
@@ -27,7 +27,7 @@
 	for _, l := range r.Since(0, false).Leaves {
 		state.Leaves = append(state.Leaves, &statev1.RosterEntry{
 			Leaf: l.Name, Born: l.Born, Sequence: l.Sequence, Service: l.Service, Address: l.Address.String(), Center: l.Center,
-			Slots: uint32(max(l.Slots, 0)), Leaving: l.Leaving, Program: l.Program, //nolint:gosec // A small number.
+			Slots: uint32(max(l.Slots, 0)), Leaving: l.Leaving && !l.Displaced, Program: l.Program, //nolint:gosec // A small number.
 		})
 	}
 	payload, err := proto.Marshal(state)
--- a/lib/enroller/receive.go
+++ b/lib/enroller/receive.go
@@ -20,12 +20,14 @@
 // Receive adds the records that another host sends.
 func (r *Roster) Receive(records []*peerv1.RosterLeaf, to Listener, now time.Time) {
 	for _, m := range records {
+		// Departures come first: a leaf may hold the address that one of them gives back.
 		if m.GetLeaving() {
 			r.Leave(m.GetLeaf(), m.GetBorn(), now)
 			to.OnDeparture(m.GetLeaf(), m.GetBorn(), now)
-			continue
 		}
-		if to.IsDeparted(m.GetLeaf(), m.GetBorn()) {
+	}
+	for _, m := range records {
+		if m.GetLeaving() || to.IsDeparted(m.GetLeaf(), m.GetBorn()) {
 			continue
 		}
 		l, err := Decode(m, now)
@@ -33,7 +35,7 @@
 			eventer.AnnounceRejected.Log(now, "leaf", m.GetLeaf(), "error", err.Error())
 			continue
 		}
-		if r.update(l, RelayInterval, now) == Changed {
+		if r.update(l, false, now) == Changed {
 			to.OnChange(l, now)
 		}
 	}
--- a/lib/enroller/wire.go
+++ b/lib/enroller/wire.go
@@ -14,7 +14,7 @@
 func Encode(l *Leaf, now time.Time) *peerv1.RosterLeaf {
 	out := &peerv1.RosterLeaf{
 		Leaf: l.Name, Born: l.Born, Sequence: l.Sequence, Service: l.Service, Address: l.Address.String(), Center: l.Center,
-		Slots: uint32(max(l.Slots, 0)), Leaving: l.Leaving, Program: l.Program, //nolint:gosec // A small number.
+		Slots: uint32(max(l.Slots, 0)), Leaving: l.Leaving && !l.Displaced, Program: l.Program, //nolint:gosec // A small number.
 	}
 	if cold := l.ColdUntil.Sub(now); cold > 0 {
 		out.Cold = durationpb.New(cold)
--- a/lib/router/table.go
+++ b/lib/router/table.go
@@ -69,6 +69,16 @@
 	return s, ok
 }
 
+// Names reports whether the document names a service, as one of its services or in a route.
+func (t *Table) Names(service string) bool {
+	if _, ok := t.services[service]; ok {
+		return true
+	}
+	return slices.ContainsFunc(t.document.Routes, func(r Route) bool {
+		return slices.Contains(r.Gather, service) || slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service })
+	})
+}
+
 // Find returns the route of a host with the longest prefix of the path. A port in host is ignored.
 func (t *Table) Find(host, path string) (*Route, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
