suspector: run requests of a suspected fingerprint one at a time

Change: once a request of a fingerprint was lost and none was answered since, one request of it runs at a time. The question, its answer and the end of a trial carry what is known of the fingerprint, so the next trial begins with the loss of the last. A host that reaches no control host still runs one at a time by itself. A lost host holds back others until the deadline of its request. An answer ends all this, so requests that ran on a leaf that crashed for another reason are held back for one request.

Losses that overlap still count as one: leaves that fail at the same moment cannot be told from an outage, which must not block innocent requests (TestRequestsThatAreLostTogetherCountOnce). A burst therefore counts one, and at most two trials follow it.

Existing tests changed: fakeSuspects gets the new method.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -33,6 +33,9 @@
 type SuspectTracker interface {
 	// Blocked returns how long a request must still be refused, or 0 if it may be executed.
 	Blocked(r *carrier.Request, now time.Time) time.Duration
+	// Begin returns how long a request must wait because another request like it is suspected and running, or 0 and a function
+	// that must be called when the request has ended and was reported. No request ends later than its deadline.
+	Begin(ctx context.Context, r *carrier.Request, deadline, now time.Time) (end func(now time.Time), wait time.Duration)
 	// ReportLost records that the leaves that received a request closed their connections without an answer, and that no
 	// leaf answered it.
 	ReportLost(r *carrier.Request, now time.Time)
@@ -44,8 +47,11 @@
 type noSuspects struct{}
 
 func (noSuspects) Blocked(*carrier.Request, time.Time) time.Duration { return 0 }
-func (noSuspects) ReportLost(*carrier.Request, time.Time)            {}
-func (noSuspects) ReportAnswered(*carrier.Request, time.Time)        {}
+func (noSuspects) Begin(context.Context, *carrier.Request, time.Time, time.Time) (func(time.Time), time.Duration) {
+	return func(time.Time) {}, 0
+}
+func (noSuspects) ReportLost(*carrier.Request, time.Time)     {}
+func (noSuspects) ReportAnswered(*carrier.Request, time.Time) {}
 
 // Viewer provides the configuration in force and the known leaves.
 type Viewer interface {
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -131,6 +131,11 @@
 	if wait := q.answerer.suspects.Blocked(q.request, now); wait > 0 {
 		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "requests like this one have ended the leaves that ran them"}
 	}
+	end, wait := q.answerer.suspects.Begin(ctx, q.request, q.deadline, now)
+	if wait > 0 {
+		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "a request like this one has ended the leaves that ran it, and another one is being tried"}
+	}
+	defer func() { end(q.answerer.clock()) }()
 	defer q.reportSuspect()
 	if q.answerer.shouldDivide(q.view, q.shards) {
 		return q.gatherDivided(ctx)
--- a/fleetd/answerer/suspect_test.go
+++ b/fleetd/answerer/suspect_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/fleetd/exchanger"
+	"lycheelift.example/fleetd/suspector"
 	"lycheelift.example/lib/carrier"
 )
 
@@ -19,8 +23,11 @@
 }
 
 func (s *fakeSuspects) Blocked(*carrier.Request, time.Time) time.Duration { return s.blocked }
-func (s *fakeSuspects) ReportLost(*carrier.Request, time.Time)            { s.lost++ }
-func (s *fakeSuspects) ReportAnswered(*carrier.Request, time.Time)        { s.answered++ }
+func (s *fakeSuspects) Begin(context.Context, *carrier.Request, time.Time, time.Time) (func(time.Time), time.Duration) {
+	return func(time.Time) {}, 0
+}
+func (s *fakeSuspects) ReportLost(*carrier.Request, time.Time)     { s.lost++ }
+func (s *fakeSuspects) ReportAnswered(*carrier.Request, time.Time) { s.answered++ }
 
 // newSuspecting returns an answerer of a fleet that reports to s.
 func newSuspecting(f *fleet, s *fakeSuspects) *answerer.Answerer {
@@ -111,6 +118,38 @@
 	return &carrier.Answer{Status: 500, Stamp: "s", ID: c.Request.ID}, nil
 }
 
+// Load: a request that has crashed leaves comes again, 12 times at once. Guards against more than one of them that reaches
+// leaves, and against a refusal that does not say when to come again.
+func TestRequestsOfASuspectRunOneAtATime(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(1)
+		f.breakAllLeaves()
+		bounds := answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+		a := answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithSuspects(suspector.New()))
+		ask(a, "/once/2f")
+		for name := range f.leaves {
+			f.leaves[name] = breaksLate
+		}
+		time.Sleep(4 * time.Second)
+		sent := f.called()
+		var running sync.WaitGroup
+		var refused atomic.Int64
+		for i := range 12 {
+			running.Go(func() {
+				reply := a.Answer(context.Background(), &carrier.Request{
+					ID: fmt.Sprint(i), Method: "GET", Host: "n", Path: "/once/2f", Target: "/once/2f", Received: time.Now(), Timeout: 6 * time.Second,
+				})
+				if reply.Outcome == carrier.Refused && reply.RetryAfter > 0 {
+					refused.Add(1)
+				}
+			})
+		}
+		running.Wait()
+		qt.Assert(t, f.called()-sent, qt.Equals, 1)
+		qt.Assert(t, refused.Load(), qt.Equals, int64(11))
+	})
+}
+
 // Load: a request that crashes leaves is divided. Guards against a host that does not learn of the connections that
 // its helpers lost.
 func TestHelpersTellOfLostLeaves(t *testing.T) {
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -23,6 +23,7 @@
 // Service is the gRPC service for the hosts that follow a keeper.
 type Service struct {
 	peerv1.UnimplementedFollowServiceServer
+	peerv1.UnimplementedTrialServiceServer
 
 	keeper *Keeper
 	// stopping ends all streams when closed, so that followers switch to another control host immediately.
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -52,6 +52,8 @@
 	roster *enroller.Roster
 	// losses tracks requests that are suspected of crashing the leaves that run them.
 	losses *quarantiner.Ledger
+	// trials holds the suspected requests that run at present.
+	trials *quarantiner.Trials
 	clock  func() time.Time
 	decode Decoder
 	// table is that of the newest document that was decoded.
@@ -91,7 +93,7 @@
 func New(host, center string, controlAddress netip.AddrPort, peerAddress string, s *store.Store, log Log, clock func() time.Time, options ...Option) *Keeper {
 	k := &Keeper{
 		host: host, center: center, controlAddress: controlAddress, peerAddress: peerAddress, store: s, log: log, clock: clock,
-		losses: quarantiner.NewLedger(), peers: make(map[string]peerStatus), streams: make(map[follower]int),
+		losses: quarantiner.NewLedger(), trials: quarantiner.NewTrials(), peers: make(map[string]peerStatus), streams: make(map[follower]int),
 	}
 	k.roster = enroller.New(enroller.WithServices(k.named))
 	for _, o := range options {
--- a/fleetd/keeper/losses.go
+++ b/fleetd/keeper/losses.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/types/known/durationpb"
+
 	"lycheelift.example/fleetd/suspector"
 	"lycheelift.example/lib/eventer"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
@@ -15,6 +17,27 @@
 	return &peerv1.ReportLossesResponse{}, nil
 }
 
+// Try permits one request of a suspected fingerprint at a time, among the entry hosts that ask this control host.
+func (s *Service) Try(_ context.Context, in *peerv1.TryRequest) (*peerv1.TryResponse, error) {
+	k := s.keeper
+	now := k.clock()
+	k.mergeLosses([]*peerv1.Loss{in.GetLoss()}, now)
+	fingerprint := in.GetLoss().GetFingerprint()
+	if in.GetEnded() {
+		k.trials.End(fingerprint, in.GetTrial())
+		return &peerv1.TryResponse{}, nil
+	}
+	out := &peerv1.TryResponse{Loss: suspector.Encode(k.losses.Find(fingerprint, now), now)}
+	limit := min(max(0, in.GetLimit().AsDuration()), maxTrialTime)
+	if wait := k.trials.Begin(fingerprint, in.GetTrial(), now.Add(limit), now); wait > 0 {
+		out.Wait = durationpb.New(wait)
+	}
+	return out, nil
+}
+
+// maxTrialTime bounds the time for which a lost entry host holds back the requests of others. No request takes longer.
+const maxTrialTime = time.Minute
+
 // mergeLosses merges the losses known to another host. What is new is sent to all followers.
 func (k *Keeper) mergeLosses(losses []*peerv1.Loss, now time.Time) {
 	for _, m := range losses {
--- a/fleetd/linker/linker.go
+++ b/fleetd/linker/linker.go
@@ -120,6 +120,18 @@
 	return oops.In("linker").Wrapf(err, "report to %s", address)
 }
 
+// Try asks a control host whether a suspected request may run, or tells it that the request has ended.
+func Try(ctx context.Context, address string, request *peerv1.TryRequest) (*peerv1.TryResponse, error) {
+	dial, _ := Options()
+	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
+	if err != nil {
+		return nil, oops.In("linker").Wrapf(err, "connect to %s", address)
+	}
+	defer func() { _ = conn.Close() }()
+	response, err := peerv1.NewTrialServiceClient(conn).Try(ctx, request)
+	return response, oops.In("linker").Wrapf(err, "ask %s", address)
+}
+
 // cause returns the cause for which the stream was cancelled, if there is one, instead of the resulting stream error.
 func cause(ctx context.Context, err error) error {
 	if reason := context.Cause(ctx); reason != nil {
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -117,7 +117,9 @@
 	_, options := linker.Options()
 	peers := grpc.NewServer(append(options, linker.KeepaliveOption())...)
 	peerv1.RegisterReplicaServiceServer(peers, log.Service())
-	peerv1.RegisterFollowServiceServer(peers, keeper.NewService(controlKeeper, stopping))
+	service := keeper.NewService(controlKeeper, stopping)
+	peerv1.RegisterFollowServiceServer(peers, service)
+	peerv1.RegisterTrialServiceServer(peers, service)
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.bind)
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen on %s", s.bind)
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -37,9 +37,12 @@
 	defer func() { _ = metrics.Close() }()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	suspects := suspector.New()
+	var client *follower.Client
+	suspects := suspector.New(suspector.WithArbiter(func(ctx context.Context, m *peerv1.TryRequest) (*peerv1.TryResponse, error) {
+		return client.Arbitrate(ctx, m)
+	}))
 	viewFollower := follower.New(platform.DecodeDocument, clock(), follower.WithLossHandler(suspects.Merge))
-	client := follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
+	client = follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
 	go client.Run(running)
 	go suspects.Run(running, client.Report, clock)
 	limits := func() router.Limits {
--- a/fleetd/suspector/suspector.go
+++ b/fleetd/suspector/suspector.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
+	"sync/atomic"
 	"time"
 	"unicode/utf8"
 
@@ -32,11 +34,33 @@
 type Suspector struct {
 	ledger  *quarantiner.Ledger
 	reports chan quarantiner.Loss
+	trials  *quarantiner.Trials
+	// arbiter asks a control host; nil if there is none.
+	arbiter Arbiter
+	// origin distinguishes the trials of this process from those of others, and sequence from each other.
+	origin   uint64
+	sequence atomic.Uint64
+}
+
+// Option configures a suspector.
+type Option func(*Suspector)
+
+// WithArbiter sets the function that asks the control host that arbitrates between the hosts. Without it, only the requests of
+// this host are held back.
+func WithArbiter(a Arbiter) Option {
+	return func(s *Suspector) { s.arbiter = a }
 }
 
 // New returns a suspector without any suspected requests.
-func New() *Suspector {
-	return &Suspector{ledger: quarantiner.NewLedger(), reports: make(chan quarantiner.Loss, queueSize)}
+func New(options ...Option) *Suspector {
+	s := &Suspector{
+		ledger: quarantiner.NewLedger(), reports: make(chan quarantiner.Loss, queueSize), trials: quarantiner.NewTrials(),
+		origin: rand.Uint64(), //nolint:gosec // An identity, not a secret.
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // fingerprint identifies the content of a request, independent of its caller and of the attempt.
--- a/lib/quarantiner/ledger.go
+++ b/lib/quarantiner/ledger.go
@@ -78,6 +78,28 @@
 	return max(0, e.loss.Until.Sub(now))
 }
 
+// Suspected reports whether a request of a fingerprint was lost and none was answered since. Requests of such a fingerprint are to
+// run one at a time.
+func (l *Ledger) Suspected(fingerprint uint64, now time.Time) bool {
+	if l.IsEmpty() {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.entries[fingerprint]
+	return ok && !e.loss.Blocked && now.Before(e.expires) && len(e.loss.unforgiven()) > 0
+}
+
+// Find returns what is known about a fingerprint.
+func (l *Ledger) Find(fingerprint uint64, now time.Time) Loss {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e, ok := l.entries[fingerprint]; ok && now.Before(e.expires) {
+		return e.loss.clone()
+	}
+	return Loss{Fingerprint: fingerprint}
+}
+
 // RecordLoss records a lost request and returns what is known about its fingerprint.
 func (l *Ledger) RecordLoss(fingerprint uint64, request string, began, now time.Time) Loss {
 	out, _ := l.Merge(Loss{Fingerprint: fingerprint, Lost: []Lost{{ID: request, Began: began, Ended: now}}}, now)
