selector: keep the sum of calls to a cold leaf within its bound

Cause: the bound was divided by the number of entry hosts and made into an interval between two calls, which lets one more call into each second than the share, on every host (27 where 20 are allowed at 9 hosts), and the interval began when a call was begun, not when it was sent.

Change: each host gets a whole number of calls in 1.1 s, rounded down; the remainder goes to the first hosts of an order that differs between leaves. With fewer calls than hosts, groups of hosts take turns in slots of 3 s, counted back from the time at which the leaf is warm; each host comes round. The limit is asked again immediately before a call is sent (PermitSend), which also covers resends, concurrent choices and calls that waited for a connection. The number of hosts is the highest of the last 10 s, and cold leaves are not called in the first second after the first number is known. All of it only where the configuration gives coldPerS.

Existing test changed: TestColdLeafGetsCallsAtIntervals sets the share (20 for 9 hosts, 2 calls in 1.1 s) instead of the interval, and expects 19 calls in 10 s instead of 20.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -107,6 +108,11 @@
 	helper      Helper
 	portionSize int
 	divider     *divider.Table
+	// self is this host's own address among the entry hosts.
+	self string
+	// hosts is the number of entry hosts by which limits are divided.
+	hostsMu sync.Mutex
+	hosts   selector.HostCount
 	// lastEvaluation is the Unix time in nanoseconds at which the evidence was last evaluated.
 	lastEvaluation atomic.Int64
 }
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -81,7 +81,10 @@
 		running.permit = alternative.permit
 	}
 	running.outgoing.Gate.Join(running.permit)
-	running.outgoing.Withdrawn = func() bool { return a.selector.Barred(c.Target.Leaf, a.clock()) }
+	running.outgoing.Withdrawn = func() bool {
+		now := a.clock()
+		return a.selector.Barred(c.Target.Leaf, now) || !a.selector.PermitSend(c.Target.Leaf, &choice, now)
+	}
 	results := q.results
 	go func() {
 		answer, err := a.caller.Do(ctx, running.outgoing)
--- a/fleetd/answerer/divide.go
+++ b/fleetd/answerer/divide.go
@@ -48,13 +48,18 @@
 // WithHelpers lets other hosts gather portions of at most size shards. Self is this host's own address among the
 // view's helpers, and gatherers is the number of hosts in a data centre that gather the same portion.
 func WithHelpers(self string, size, gatherers int, h Helper) Option {
-	return func(a *Answerer) { a.helper, a.portionSize, a.divider = h, size, divider.New(self, gatherers) }
+	return func(a *Answerer) {
+		a.self, a.helper, a.portionSize, a.divider = self, h, size, divider.New(self, gatherers)
+	}
 }
 
 // Sweep discards the state of helpers that are no longer listed, opens connections to the others before they are
 // needed, and updates the set of portions that this host is responsible for. It must be called periodically.
 func (a *Answerer) Sweep(now time.Time) {
 	view := a.viewer.View()
+	if view.Table != nil {
+		a.countHosts(view, now)
+	}
 	if a.divider == nil || view.Table == nil {
 		return
 	}
--- a/fleetd/answerer/environment.go
+++ b/fleetd/answerer/environment.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/planner"
 	"lycheelift.example/lib/selector"
@@ -88,20 +89,46 @@
 func (q *query) choice(shard uint32) selector.Choice {
 	a := q.answerer
 	return selector.Choice{
-		Center: a.center, Typical: q.typical(), Random: a.random, ColdInterval: q.coldInterval(q.shards[shard]),
+		Center: a.center, Typical: q.typical(), Random: a.random, Cold: q.coldShare(q.shards[shard]),
 	}
 }
 
-// coldInterval returns the minimum time between two requests of this host to a cold leaf, whose permitted rate is
-// divided among the entry hosts. It returns 0 if the service sets no rate.
-func (q *query) coldInterval(service string) time.Duration {
+// coldShare returns how the calls to cold leaves of a service are divided among the entry hosts. There is no limit if the service
+// sets no rate.
+func (q *query) coldShare(service string) selector.ColdShare {
 	s, ok := q.view.Table.Service(service)
 	if !ok || s.ColdRate <= 0 {
-		return 0
+		return selector.ColdShare{}
+	}
+	a := q.answerer
+	now := a.clock()
+	if !slices.ContainsFunc(a.viewer.View().Holders[service], func(l *cataloguer.Leaf) bool { return now.Before(l.ColdUntil) }) {
+		return selector.ColdShare{}
+	}
+	hosts, index, settled := a.countHosts(q.view, now)
+	return selector.ColdShare{Bound: s.ColdRate*a.bounds.Cold + a.bounds.ColdSlack, Hosts: hosts, Index: index, Unsettled: !settled}
+}
+
+// countHosts returns the number of entry hosts and the position of this host among them, -1 if it is not listed. It reports whether
+// the number has been known for long enough. The position is the number of listed hosts whose addresses sort before its own.
+func (a *Answerer) countHosts(view *follower.View, now time.Time) (hosts, index int, settled bool) {
+	listed, self := 0, false
+	for _, addresses := range view.Helpers {
+		listed += len(addresses)
+		for _, address := range addresses {
+			self = self || address == a.self
+			if address < a.self {
+				index++
+			}
+		}
+	}
+	if !self {
+		index = -1
 	}
-	b := &q.answerer.bounds
-	rate := (s.ColdRate*b.Cold + b.ColdSlack) / float64(max(q.view.Entries, 1))
-	return time.Duration(float64(time.Second) / rate)
+	a.hostsMu.Lock()
+	defer a.hostsMu.Unlock()
+	hosts, settled = a.hosts.Observe(max(view.Entries, listed, 1), now)
+	return hosts, index, settled
 }
 
 // targetOrDefault returns the route's target, or defaultTarget if it has none.
--- a/lib/selector/record.go
+++ b/lib/selector/record.go
@@ -72,8 +72,9 @@
 	leavingUntil time.Time
 	// pausedUntil is the end of the time for which the leaf wants no requests.
 	pausedUntil time.Time
-	// nextColdCall is the earliest time of the next call to the leaf while it is cold.
-	nextColdCall time.Time
+	// nextColdCall is the earliest time at which the leaf is chosen again while it is cold, and nextColdSend the earliest time at
+	// which a call to it is sent.
+	nextColdCall, nextColdSend time.Time
 }
 
 // New returns an empty table.
--- a/lib/selector/selector.go
+++ b/lib/selector/selector.go
@@ -47,8 +47,8 @@
 	Center string
 	// Typical is the latency of a typical call of the request.
 	Typical time.Duration
-	// ColdInterval is the minimum time between two calls of this host to a cold leaf; 0 means no limit.
-	ColdInterval time.Duration
+	// Cold limits the calls to cold leaves.
+	Cold ColdShare
 	// Force also permits leaves that were recently unreachable, unless several consecutive calls have failed.
 	Force bool
 	// Random breaks ties.
@@ -84,7 +84,7 @@
 		return 0, false
 	}
 	cold := now.Before(l.ColdUntil)
-	if cold && c.ColdInterval > 0 && now.Before(r.nextColdCall) {
+	if !c.permitsCold(r, l, now) {
 		return 0, false
 	}
 	backingOff := now.Before(r.retryAt) || r.failedConnects > 0 && len(r.open) > 0
--- a/lib/selector/selector_test.go
+++ b/lib/selector/selector_test.go
@@ -1,6 +1,7 @@
 package selector_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -170,12 +171,65 @@
 	sent := 0
 	for w.now.Before(start.Add(10 * time.Second)) {
 		c := w.choice()
-		c.ColdInterval = 500 * time.Millisecond
+		c.Cold = selector.ColdShare{Bound: 20, Hosts: 9, Index: 3}
 		if l, ok := w.table.Choose(c, w.now); ok {
 			sent++
 			w.table.Begin(l, &c, w.now).End(selector.Answered, -1, w.now.Add(typical))
 		}
 		w.now = w.now.Add(typical)
 	}
-	qt.Assert(t, sent, qt.Equals, 20)
+	qt.Assert(t, sent, qt.Equals, 19)
+}
+
+// All hosts have requests for one cold leaf all the time, and differ by up to 300 ms in when they expect it to be warm. Guards
+// against a sum over all hosts above the bound in any second, and against a host that gets no turn.
+func TestHostsShareAColdLeaf(t *testing.T) {
+	const step, skews = 50 * time.Millisecond, 4
+	for _, bound := range []float64{1, 2.5, 5, 20} {
+		for _, hosts := range []int{1, 4, 9, 194} {
+			turns := time.Duration(max(1, (hosts+int(bound)-1)/int(bound)))
+			until := start.Add((turns + 1) * 3 * time.Second)
+			tables, leaves, sent := make([]*selector.Table, hosts), make([]*cataloguer.Leaf, hosts), make([]int, hosts)
+			for i := range tables {
+				tables[i] = selector.New()
+				leaves[i] = &cataloguer.Leaf{Name: "a", Incarnation: 1, ColdUntil: until.Add(time.Duration(i%skews) * 100 * time.Millisecond)}
+			}
+			var perStep []int
+			for now := start; now.Before(until); now = now.Add(step) {
+				count := 0
+				for i, table := range tables {
+					c := selector.Choice{Cold: selector.ColdShare{Bound: bound, Hosts: hosts, Index: i}}
+					if table.PermitSend(leaves[i], &c, now) {
+						sent[i]++
+						count++
+					}
+				}
+				perStep = append(perStep, count)
+			}
+			comment := qt.Commentf("bound %v, %d hosts", bound, hosts)
+			for i := range perStep {
+				sum := 0
+				for _, n := range perStep[i:min(i+int(time.Second/step)+1, len(perStep))] {
+					sum += n
+				}
+				qt.Assert(t, sum <= int(bound), qt.IsTrue, qt.Commentf("%d calls; bound %v, %d hosts", sum, bound, hosts))
+			}
+			qt.Assert(t, slices.Min(sent) > 0, qt.IsTrue, comment)
+		}
+	}
+}
+
+// Guards against a host that takes too large a share, because it has started with all others and not heard of them yet, or
+// because others are cut off and still send.
+func TestHostCount(t *testing.T) {
+	var h selector.HostCount
+	_, settled := h.Observe(1, start)
+	qt.Assert(t, settled, qt.IsFalse)
+	count, settled := h.Observe(9, start.Add(time.Second))
+	qt.Assert(t, settled, qt.IsTrue)
+	qt.Assert(t, count, qt.Equals, 9)
+	count, _ = h.Observe(4, start.Add(11*time.Second))
+	qt.Assert(t, count, qt.Equals, 9)
+	count, _ = h.Observe(4, start.Add(22*time.Second))
+	qt.Assert(t, count, qt.Equals, 4)
 }
--- a/lib/selector/ticket.go
+++ b/lib/selector/ticket.go
@@ -43,8 +43,9 @@
 	defer unlock()
 	r.open = append(r.open, now)
 	r.used = now
-	if c.ColdInterval > 0 && now.Before(l.ColdUntil) {
-		r.nextColdCall = now.Add(c.ColdInterval)
+	if c.Cold.limits(l, now) {
+		interval, _ := c.Cold.interval(l, now)
+		r.nextColdCall = now.Add(interval)
 	}
 	return &Ticket{table: t, name: l.Name, incarnation: l.Incarnation, sent: now, typical: c.Typical}
 }
