answerer: send a suspected request to one leaf of each shard

A trial of a suspected request went on to a second leaf after it had crashed the first. It now has one attempt.

Measured: TestRequestsOfASuspectRunOneAtATime now also covers a route with two attempts. fleetd/answerer and fleetd/suspector pass, also with -race.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -34,8 +34,9 @@
 type SuspectTracker interface {
 	// Blocked returns how long a request must still be refused, or 0 if it may be executed.
 	Blocked(r *carrier.Request, now time.Time) time.Duration
-	// Begin returns how long a request must wait because another request like it is suspected and running, or 0 and a function
-	// that must be called when the request has ended and was reported. No request ends later than its deadline.
+	// Begin returns how long a request must wait because another request like it is suspected and running. It returns 0 and a
+	// function if the request is suspected and may run: it must reach one leaf at most, and the function must be called when it
+	// has ended and was reported. It returns 0 and nil if the request is not suspected. No request ends later than its deadline.
 	Begin(ctx context.Context, r *carrier.Request, deadline, now time.Time) (end func(now time.Time), wait time.Duration)
 	// ReportLost records that the leaves that received a request closed their connections without an answer, and that no
 	// leaf answered it.
@@ -49,7 +50,7 @@
 
 func (noSuspects) Blocked(*carrier.Request, time.Time) time.Duration { return 0 }
 func (noSuspects) Begin(context.Context, *carrier.Request, time.Time, time.Time) (func(time.Time), time.Duration) {
-	return func(time.Time) {}, 0
+	return nil, 0
 }
 func (noSuspects) ReportLost(*carrier.Request, time.Time)     {}
 func (noSuspects) ReportAnswered(*carrier.Request, time.Time) {}
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -135,7 +135,12 @@
 	if wait > 0 {
 		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "a request like this one has ended the leaves that ran it, and another one is being tried"}
 	}
-	defer func() { end(q.answerer.clock()) }()
+	if end != nil {
+		defer func() { end(q.answerer.clock()) }()
+		single := *route
+		single.Attempts = 1 // A suspected request crashes at most one leaf of each shard.
+		q.route = &single
+	}
 	defer q.reportSuspect()
 	if q.answerer.shouldDivide(q.view, q.shards) {
 		return q.gatherDivided(ctx)
--- a/fleetd/answerer/suspect_test.go
+++ b/fleetd/answerer/suspect_test.go
@@ -24,7 +24,7 @@
 
 func (s *fakeSuspects) Blocked(*carrier.Request, time.Time) time.Duration { return s.blocked }
 func (s *fakeSuspects) Begin(context.Context, *carrier.Request, time.Time, time.Time) (func(time.Time), time.Duration) {
-	return func(time.Time) {}, 0
+	return nil, 0
 }
 func (s *fakeSuspects) ReportLost(*carrier.Request, time.Time)     { s.lost++ }
 func (s *fakeSuspects) ReportAnswered(*carrier.Request, time.Time) { s.answered++ }
@@ -119,35 +119,39 @@
 }
 
 // Load: a request that has crashed leaves comes again, 12 times at once. Guards against more than one of them that reaches
-// leaves, and against a refusal that does not say when to come again.
+// a leaf, against one that goes on to a second leaf, and against a refusal that does not say when to come again.
 func TestRequestsOfASuspectRunOneAtATime(t *testing.T) {
-	inBubble(t, func(t *testing.T) {
-		f := newFleet(1)
-		f.breakAllLeaves()
-		bounds := answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
-		a := answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithSuspects(suspector.New()))
-		ask(a, "/once/2f")
-		for name := range f.leaves {
-			f.leaves[name] = breaksLate
-		}
-		time.Sleep(4 * time.Second)
-		sent := f.called()
-		var running sync.WaitGroup
-		var refused atomic.Int64
-		for i := range 12 {
-			running.Go(func() {
-				reply := a.Answer(context.Background(), &carrier.Request{
-					ID: fmt.Sprint(i), Method: "GET", Host: "n", Path: "/once/2f", Target: "/once/2f", Received: time.Now(), Timeout: 6 * time.Second,
-				})
-				if reply.Outcome == carrier.Refused && reply.RetryAfter > 0 {
-					refused.Add(1)
-				}
+	for _, path := range []string{"/one/2f", "/once/2f"} {
+		inBubble(t, func(t *testing.T) { runBurst(t, path) })
+	}
+}
+
+func runBurst(t *testing.T, path string) {
+	f := newFleet(1)
+	f.breakAllLeaves()
+	bounds := answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}
+	a := answerer.New("host", "a", f, f, bounds, time.Now, answerer.WithSuspects(suspector.New()))
+	ask(a, path)
+	for name := range f.leaves {
+		f.leaves[name] = breaksLate
+	}
+	time.Sleep(4 * time.Second)
+	sent := f.called()
+	var running sync.WaitGroup
+	var refused atomic.Int64
+	for i := range 12 {
+		running.Go(func() {
+			reply := a.Answer(context.Background(), &carrier.Request{
+				ID: fmt.Sprint(i), Method: "GET", Host: "n", Path: path, Target: path, Received: time.Now(), Timeout: 6 * time.Second,
 			})
-		}
-		running.Wait()
-		qt.Assert(t, f.called()-sent, qt.Equals, 1)
-		qt.Assert(t, refused.Load(), qt.Equals, int64(11))
-	})
+			if reply.Outcome == carrier.Refused && reply.RetryAfter > 0 {
+				refused.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	qt.Assert(t, f.called()-sent, qt.Equals, 1)
+	qt.Assert(t, refused.Load(), qt.Equals, int64(11))
 }
 
 // Load: a request that crashes leaves is divided. Guards against a host that does not learn of the connections that
--- a/fleetd/suspector/trial.go
+++ b/fleetd/suspector/trial.go
@@ -17,15 +17,15 @@
 
 // Begin asks whether a request may run now. Requests of a fingerprint of which one was lost, and none answered since, run one at
 // a time among all hosts that reach the same control host. It returns the time after which the request is to come again,
-// or 0 and a function that must be called when the request has ended and was reported. The deadline is the latest time at which
-// the request ends.
+// or 0 and a function that must be called when the request has ended and was reported, or 0 and nil if the request is not
+// suspected. The deadline is the latest time at which the request ends.
 func (s *Suspector) Begin(ctx context.Context, r *carrier.Request, deadline, now time.Time) (end func(now time.Time), wait time.Duration) {
 	if s.ledger.IsEmpty() {
-		return func(time.Time) {}, 0
+		return nil, 0
 	}
 	f := fingerprint(r)
 	if !s.ledger.Suspected(f, now) {
-		return func(time.Time) {}, 0
+		return nil, 0
 	}
 	trial := fmt.Sprintf("%x.%x", s.origin, s.sequence.Add(1))
 	if wait := s.trials.Begin(f, trial, deadline, now); wait > 0 {
