--- a/controld/store/rollout_test.go
+++ b/controld/store/rollout_test.go
@@ -37,6 +37,6 @@
 	old := &statev1.State{}
 	qt.Assert(t, proto.Unmarshal(data, old), qt.IsNil)
 	qt.Assert(t, old.GetRollouts(), qt.HasLen, 0)
-	qt.Assert(t, m.Restore(data), qt.IsNil)
+	qt.Assert(t, m.Restore(1, data), qt.IsNil)
 	qt.Assert(t, s.View().Rollouts, qt.HasLen, 0)
 }
--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,10 @@
 type SuspectTracker interface {
 	// Blocked returns how long a request must still be refused, or 0 if it may be executed.
 	Blocked(r *carrier.Request, now time.Time) time.Duration
+	// Begin returns how long a request must wait because another request like it is suspected and running. It returns 0 and a
+	// function if the request is suspected and may run: it must reach one leaf at most, and the function must be called when it
+	// has ended and was reported. It returns 0 and nil if the request is not suspected. No request ends later than its deadline.
+	Begin(ctx context.Context, r *carrier.Request, deadline, now time.Time) (end func(now time.Time), wait time.Duration)
 	// ReportLost records that the leaves that received a request closed their connections without an answer, and that no
 	// leaf answered it.
 	ReportLost(r *carrier.Request, now time.Time)
@@ -45,8 +50,11 @@
 type noSuspects struct{}
 
 func (noSuspects) Blocked(*carrier.Request, time.Time) time.Duration { return 0 }
-func (noSuspects) ReportLost(*carrier.Request, time.Time)            {}
-func (noSuspects) ReportAnswered(*carrier.Request, time.Time)        {}
+func (noSuspects) Begin(context.Context, *carrier.Request, time.Time, time.Time) (func(time.Time), time.Duration) {
+	return nil, 0
+}
+func (noSuspects) ReportLost(*carrier.Request, time.Time)     {}
+func (noSuspects) ReportAnswered(*carrier.Request, time.Time) {}
 
 // Viewer provides the configuration in force and the known leaves.
 type Viewer interface {
@@ -107,6 +115,11 @@
 	helper      Helper
 	portionSize int
 	divider     *divider.Table
+	// self is this host's own address among the entry hosts.
+	self string
+	// hosts is the number of entry hosts by which limits are divided.
+	hostsMu sync.Mutex
+	hosts   selector.HostCount
 	// lastEvaluation is the Unix time in nanoseconds at which the evidence was last evaluated.
 	lastEvaluation atomic.Int64
 }
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -84,7 +84,10 @@
 	}
 	running.outgoing.Gate.Join(running.permit)
 	service := q.shards[c.Shard]
-	running.outgoing.Withdrawn = func() bool { return a.withdrawn(service, c.Target.Leaf, a.clock()) || q.keyRemoved() }
+	running.outgoing.Withdrawn = func() bool {
+		now := a.clock()
+		return a.withdrawn(service, c.Target.Leaf, now) || q.keyRemoved() || !a.selector.PermitSend(c.Target.Leaf, &choice, now)
+	}
 	running.counted = a.tally.Begin(service, c.Target.Leaf.Program, q.route.Name, c.Target.Leaf.ColdUntil.After(c.Sent), c.Sent)
 	if running.counted.Trial() {
 		a.metrics.trials.Inc(1)
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -152,6 +152,16 @@
 	if wait := q.answerer.suspects.Blocked(q.request, now); wait > 0 {
 		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "requests like this one have ended the leaves that ran them"}
 	}
+	end, wait := q.answerer.suspects.Begin(ctx, q.request, q.deadline, now)
+	if wait > 0 {
+		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "a request like this one has ended the leaves that ran it, and another one is being tried"}
+	}
+	if end != nil {
+		defer func() { end(q.answerer.clock()) }()
+		single := *q.route
+		single.Attempts = 1 // A suspected request crashes at most one leaf of each shard.
+		q.route = &single
+	}
 	defer q.reportSuspect()
 	if q.answerer.shouldDivide(q.view, q.shards) {
 		return q.gatherDivided(ctx)
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -72,7 +72,8 @@
 	logDone := make(chan error, 1)
 	go func() { logDone <- log.Run(running) }()
 	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), store.New(machine, proposer{log}, clock), log, clock,
-		keeper.WithReadSpacing(s.revoke/readSpacingDivisor), keeper.WithRollouts(s.exposure, s.Bounds.Exposure > 0, platform.DecodeDocument))
+		keeper.WithReadSpacing(s.revoke/readSpacingDivisor), keeper.WithRollouts(s.exposure, s.Bounds.Exposure > 0, platform.DecodeDocument),
+		keeper.WithDecoder(platform.DecodeDocument))
 	go controlKeeper.Run(running, folder)
 	go controlKeeper.RunRollouts(running)
 	go controlKeeper.FollowPeers(running, s.controls)
@@ -121,7 +122,9 @@
 	_, options := linker.Options()
 	peers := grpc.NewServer(append(options, linker.KeepaliveOption())...)
 	peerv1.RegisterReplicaServiceServer(peers, log.Service())
-	peerv1.RegisterFollowServiceServer(peers, keeper.NewService(controlKeeper, stopping))
+	service := keeper.NewService(controlKeeper, stopping)
+	peerv1.RegisterFollowServiceServer(peers, service)
+	peerv1.RegisterTrialServiceServer(peers, service)
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.bind)
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen on %s", s.bind)
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -41,10 +41,13 @@
 	defer func() { _ = metrics.Close() }()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	suspects := suspector.New()
+	var client *follower.Client
+	suspects := suspector.New(suspector.WithArbiter(func(ctx context.Context, m *peerv1.TryRequest) (*peerv1.TryResponse, error) {
+		return client.Arbitrate(ctx, m)
+	}))
 	tally := roller.NewTally(s.peers.String(), uint64(clock().UnixNano()))
 	viewFollower := follower.New(platform.DecodeDocument, clock(), follower.WithLossHandler(suspects.Merge), follower.WithRolloutHandler(tally.Update))
-	client := follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
+	client = follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
 	go client.Run(running)
 	go suspects.Run(running, client.Report, clock)
 	go tallier.Run(running, tally, func(now time.Time) bool { return viewFollower.View().Fresh(now) }, client, clock)
--- a/lib/selector/selector.go
+++ b/lib/selector/selector.go
@@ -49,8 +49,8 @@
 	Center string
 	// Typical is the latency of a typical call of the request.
 	Typical time.Duration
-	// ColdInterval is the minimum time between two calls of this host to a cold leaf; 0 means no limit.
-	ColdInterval time.Duration
+	// Cold limits the calls to cold leaves.
+	Cold ColdShare
 	// Force also permits leaves that were recently unreachable, unless several consecutive calls have failed.
 	Force bool
 	// Random is drawn once for each candidate.
@@ -133,7 +133,7 @@
 		return out, false
 	}
 	cold := now.Before(l.ColdUntil)
-	if cold && c.ColdInterval > 0 && now.Before(r.nextColdCall) {
+	if !c.permitsCold(r, l, now) {
 		return out, false
 	}
 	backingOff := now.Before(r.retryAt) || r.failedConnects > 0 && len(r.open) > 0
