replicator: state when a majority last answered the leader

Cause: the coordinator of quotas may grant only while no other leader can grant; the time of the leader's last contact with a majority counts from the answer and is not reset when it hands over. Change: heartbeats are numbered rounds. Status has the sending time of the newest round that a majority has answered, none on a leader that hands over, and whether the leader has committed a record of its term.

--- a/controld/replica/status.go
+++ b/controld/replica/status.go
@@ -23,6 +23,11 @@
 	// LastLeaderContact is the time of the last message from a leader, by the clock of this host; on the leader, the last
 	// time at which it had contact with a majority.
 	LastLeaderContact time.Time
+	// LastMajority is the sending time of the newest round of messages that a majority has answered to this leader, by the
+	// clock of this host; zero if this host does not lead or hands over.
+	LastMajority time.Time
+	// Current is true on a leader whose machine has applied every record that an earlier leader has committed.
+	Current bool
 	// Failure is the write error after which the host stopped acknowledging, or nil.
 	Failure error
 }
@@ -37,6 +42,7 @@
 	r.status.Store(&Status{
 		Host: r.config.Host, Incarnation: s.Incarnation, Leader: s.Leader, Leading: s.Role == replicator.Leader && r.failure == nil,
 		Term: s.Term, Commit: s.Commit, Applied: r.applied, Last: s.Last, Members: s.Members, LastLeaderContact: s.LastContact, Failure: r.failure,
+		LastMajority: s.LastMajority, Current: s.Current && r.applied >= s.Commit,
 	})
 }
 
--- a/lib/replicator/append.go
+++ b/lib/replicator/append.go
@@ -70,6 +70,7 @@
 // broadcastHeartbeat sends every other member an empty append request at its match index.
 func (r *Replicator) broadcastHeartbeat(now time.Time) {
 	r.heartbeatAt = now
+	r.startRound(now)
 	r.eachPeer(func(host string, p *progress) { r.heartbeat(host, p) })
 }
 
@@ -222,6 +223,7 @@
 		p.next = max(p.match+1, min(m.Match+1, m.Previous))
 	}
 	r.confirmReads()
+	r.confirmRounds()
 	if m.From == r.successor {
 		r.sendHandOver(p)
 	}
--- a/lib/replicator/election.go
+++ b/lib/replicator/election.go
@@ -80,6 +80,7 @@
 	}
 	r.role, r.leader, r.votes = Leader, r.config.Host, nil
 	r.progress, r.reads, r.successor = make(map[string]*progress), nil, ""
+	r.rounds, r.majorityAt, r.handedOver = nil, time.Time{}, false
 	r.heartbeatAt = now
 	r.updateProgress(now, r.log.last()+1)
 	r.appendCommand(now, emptyCommand())
@@ -107,6 +108,8 @@
 		return
 	}
 	r.handOverDeadline = now.Add(r.config.Election)
+	// The successor's election does not wait until the voters miss this leader, also if its order to start arrives late.
+	r.handedOver = true
 	r.sendHandOver(best)
 	r.replicate(now)
 }
--- a/lib/replicator/read.go
+++ b/lib/replicator/read.go
@@ -37,3 +37,36 @@
 		return confirmed
 	})
 }
+
+// sentRound is a round of messages to all members.
+type sentRound struct {
+	number uint64
+	at     time.Time
+}
+
+// maxRounds bounds the rounds that are remembered. Older ones are superseded by the time that so many have been sent.
+const maxRounds = 64
+
+// startRound numbers the round of messages that is about to be sent.
+func (r *Replicator) startRound(now time.Time) {
+	r.round++
+	r.rounds = append(r.rounds, sentRound{number: r.round, at: now})
+	if len(r.rounds) > maxRounds {
+		r.rounds = slices.Delete(r.rounds, 0, len(r.rounds)-maxRounds)
+	}
+	r.confirmRounds()
+}
+
+// confirmRounds notes the newest round that a majority has answered.
+func (r *Replicator) confirmRounds() {
+	for i := len(r.rounds) - 1; i >= 0; i-- {
+		number := r.rounds[i].number
+		if r.quorum(func(host string) bool {
+			return host == r.config.Host || r.progress[host] != nil && r.progress[host].round >= number
+		}) {
+			r.majorityAt = r.rounds[i].at
+			r.rounds = slices.Delete(r.rounds, 0, i+1)
+			return
+		}
+	}
+}
--- a/lib/replicator/replicator.go
+++ b/lib/replicator/replicator.go
@@ -146,9 +146,14 @@
 	successor        string
 	handOverDeadline time.Time
 
-	round   uint64
-	reads   []pendingRead
-	install *incomingSnapshot
+	round  uint64
+	rounds []sentRound // those that no majority has answered yet, oldest first
+	reads  []pendingRead
+	// majorityAt is the sending time of the newest round that a majority has answered in this term. handedOver is true when
+	// this replica has asked another one to take over in this term.
+	majorityAt time.Time
+	handedOver bool
+	install    *incomingSnapshot
 
 	early             []Message
 	messages          []Message
@@ -310,6 +315,7 @@
 		r.leader, r.lastLeaderContact = leader, now
 	}
 	r.role, r.progress, r.reads, r.successor, r.votes = Follower, nil, nil, "", nil
+	r.rounds, r.majorityAt = nil, time.Time{}
 	r.resetElection(now)
 }
 
--- a/lib/replicator/sim_test.go
+++ b/lib/replicator/sim_test.go
@@ -55,6 +55,7 @@
 	minVoters   int
 
 	leaders   map[uint64]string
+	elected   map[uint64]time.Time // by term
 	committed []*statev1.Record
 	members   *statev1.Members // newest committed
 	acked     map[string]uint64
@@ -66,7 +67,7 @@
 func newSim(t *testing.T, seed uint64, count int, options ...func(*sim)) *sim {
 	s := &sim{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), nodes: map[string]*node{}, partitioned: map[[2]string]bool{},
-		leaders: map[uint64]string{}, acked: map[string]uint64{}, reads: map[uint64]uint64{},
+		leaders: map[uint64]string{}, elected: map[uint64]time.Time{}, acked: map[string]uint64{}, reads: map[uint64]uint64{},
 	}
 	for _, o := range options {
 		o(s)
@@ -222,7 +223,15 @@
 	if other, ok := s.leaders[st.Term]; ok && other != who {
 		s.t.Fatalf("term %d has leaders %s and %s", st.Term, other, who)
 	}
+	if _, ok := s.leaders[st.Term]; !ok {
+		s.elected[st.Term] = s.now
+	}
 	s.leaders[st.Term] = who
+	for term, at := range s.elected {
+		if term > st.Term && st.LastMajority.After(at) {
+			s.t.Fatalf("%s claims a majority of term %d at %s, but term %d began at %s", n.name, st.Term, st.LastMajority, term, at)
+		}
+	}
 }
 
 func (s *sim) send(messages []replicator.Message) {
