Quotas of tenants: tokens from the leader of the control group

Cause: tenants have quotas over all entry hosts; callers stay on one host, so a quota cannot be divided among the hosts. Change: lib/quoter holds the decisions of the coordinator and of the entry hosts. Control hosts serve Acquire and pass it on to the leader, which grants only while a majority has answered it within 300 ms. Entry hosts ask for tokens, keep a few in stock, and return those of requests that have not run; requests above the quota get 429, those that no coordinator answers 503. Tenants without a quota and configurations without tenants use none of it. Result: tests of lib/quoter (bound in every window under random faults, nobody rejected below the limit without faults), fleetd/keeper, fleetd/acquirer and fleetd/answerer pass, also with -race.

--- /dev/null
+++ b/fleetd/acquirer/acquirer.go
@@ -0,0 +1,284 @@
+// Package acquirer obtains tokens for requests of tenants with a quota from the coordinator of quotas, through the control host
+// that this entry host follows.
+package acquirer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	tally "github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+
+	"lycheelift.example/fleetd/linker"
+	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/quoter"
+	"lycheelift.example/lib/repeater"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+const (
+	// maxWait bounds the wait for a token, and targetDivisor limits it to a fraction of the route's target.
+	maxWait       = 50 * time.Millisecond
+	targetDivisor = 4
+	// sweepInterval is the time between checks whether something is to be asked without a request that waits.
+	sweepInterval = 50 * time.Millisecond
+	// acquireTimeout bounds a call. Its answer is of use for the stock after the requests that waited for it have been refused.
+	acquireTimeout = 500 * time.Millisecond
+	// maxFlights bounds the calls in progress.
+	maxFlights = 4
+	// silenceTimeout is the time without an answer after which the connection is replaced and event 5022 is logged.
+	silenceTimeout = 200 * time.Millisecond
+	// failurePause is the wait after a failed call before the next one.
+	failurePause = 10 * time.Millisecond
+	// electionWait is the retry delay of requests that were refused because no coordinator answers: an election usually takes
+	// so long.
+	electionWait = time.Second
+)
+
+// errNoControl means that no control host is followed yet.
+var errNoControl = errors.New("no control host is followed")
+
+// Outcome is the result for one request.
+type Outcome int
+
+// Outcomes.
+const (
+	// Permitted means that the request may run.
+	Permitted Outcome = iota + 1
+	// OverQuota means that the coordinator has no token for the tenant.
+	OverQuota
+	// Unavailable means that no coordinator can be asked.
+	Unavailable
+)
+
+// Permit is the result for one request. RetryAfter is set unless the request may run.
+type Permit struct {
+	Outcome    Outcome
+	RetryAfter time.Duration
+	token      quoter.Token
+}
+
+// Acquirer obtains tokens. It is safe for concurrent use.
+type Acquirer struct {
+	// control returns the address of the control host that is followed, empty if there is none.
+	control func() string
+	// bootClock also counts the time for which the host was suspended.
+	bootClock func() time.Time
+	metrics   *metrics
+
+	mu      sync.Mutex
+	stock   *quoter.Stock
+	waiting map[uint64]chan quoter.Verdict
+	flights int
+	// unanswered is the sending time of the first call since the last answer, or since the connection was replaced; zero after
+	// an answer. silent is the sending time of the first call without an answer when event 5022 was logged, otherwise zero.
+	unanswered, silent time.Time
+	conn               *grpc.ClientConn
+	address            string
+}
+
+type metrics struct {
+	stocked, acquired, denied, unavailable, returned, calls, failures tally.Counter
+}
+
+// Option configures an Acquirer.
+type Option func(*Acquirer)
+
+// WithScope sets the scope in which metrics are reported.
+func WithScope(s tally.Scope) Option {
+	return func(a *Acquirer) { a.metrics = newMetrics(s) }
+}
+
+func newMetrics(s tally.Scope) *metrics {
+	tokens := func(result string) tally.Counter {
+		return s.Tagged(map[string]string{"result": result}).Counter("quota_requests")
+	}
+	return &metrics{
+		stocked: tokens("stock"), acquired: tokens("coordinator"), denied: tokens("denied"), unavailable: tokens("unavailable"),
+		returned: s.Counter("quota_returned"), calls: s.Counter("quota_calls"), failures: s.Counter("quota_call_failures"),
+	}
+}
+
+// New returns an acquirer without tokens.
+func New(control func() string, bootClock func() time.Time, options ...Option) *Acquirer {
+	a := &Acquirer{
+		control: control, bootClock: bootClock, metrics: newMetrics(tally.NoopScope), stock: quoter.NewStock(),
+		waiting: make(map[uint64]chan quoter.Verdict),
+	}
+	for _, o := range options {
+		o(a)
+	}
+	return a
+}
+
+// Run keeps tokens in stock for the tenants that send requests, until ctx ends.
+func (a *Acquirer) Run(ctx context.Context) {
+	repeater.Every(ctx, sweepInterval, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.ask()
+	})
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+}
+
+// Acquire obtains a token for a request of a tenant. target is that of its route, 0 if it has none.
+func (a *Acquirer) Acquire(ctx context.Context, tenant string, target time.Duration) Permit {
+	a.mu.Lock()
+	if token, ok := a.stock.Take(tenant, a.bootClock()); ok {
+		a.mu.Unlock()
+		a.metrics.stocked.Inc(1)
+		return Permit{Outcome: Permitted, token: token}
+	}
+	id := a.stock.Wait(tenant)
+	verdicts := make(chan quoter.Verdict, 1)
+	a.waiting[id] = verdicts
+	a.ask()
+	a.mu.Unlock()
+	wait := maxWait
+	if target > 0 {
+		wait = min(wait, target/targetDivisor)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case v := <-verdicts:
+		return a.permit(v)
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	select {
+	case v := <-verdicts: // It came in the meantime.
+		return a.permit(v)
+	default:
+	}
+	delete(a.waiting, id)
+	a.stock.Cancel(id)
+	a.metrics.unavailable.Inc(1)
+	return Permit{Outcome: Unavailable, RetryAfter: electionWait}
+}
+
+// permit converts a verdict.
+func (a *Acquirer) permit(v quoter.Verdict) Permit {
+	switch {
+	case v.Granted:
+		a.metrics.acquired.Inc(1)
+		return Permit{Outcome: Permitted, token: v.Token}
+	case v.RetryAfter > 0:
+		a.metrics.denied.Inc(1)
+		return Permit{Outcome: OverQuota, RetryAfter: v.RetryAfter}
+	}
+	a.metrics.unavailable.Inc(1)
+	return Permit{Outcome: Unavailable, RetryAfter: electionWait}
+}
+
+// Release returns the token of a request that has not run and never will.
+func (a *Acquirer) Release(p Permit) {
+	a.metrics.returned.Inc(1)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stock.Release(p.token, a.bootClock())
+}
+
+// ask starts a call to the coordinator if one is due. The caller must hold a.mu.
+func (a *Acquirer) ask() {
+	now := a.bootClock()
+	if !a.unanswered.IsZero() && now.Sub(a.unanswered) >= silenceTimeout {
+		a.reportSilence(now)
+	}
+	if a.flights >= maxFlights {
+		return
+	}
+	f := a.stock.Next(now)
+	if f == nil {
+		return
+	}
+	if a.unanswered.IsZero() {
+		a.unanswered = now
+	}
+	a.flights++
+	conn, err := a.dial()
+	go a.call(f, conn, err)
+}
+
+// reportSilence logs that no coordinator answers, and closes the connection: the network may have lost its state. The caller
+// must hold a.mu.
+func (a *Acquirer) reportSilence(now time.Time) {
+	if a.silent.IsZero() {
+		a.silent = a.unanswered
+		eventer.CoordinatorSilent.Log(now, "control", a.address)
+	}
+	a.unanswered = now
+	if a.conn != nil {
+		_ = a.conn.Close()
+		a.conn = nil
+	}
+}
+
+// dial returns the connection to the control host that is followed. The caller must hold a.mu.
+func (a *Acquirer) dial() (*grpc.ClientConn, error) {
+	address := a.control()
+	if a.conn != nil && a.address == address {
+		return a.conn, nil
+	}
+	if address == "" {
+		return nil, errNoControl
+	}
+	conn, err := linker.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	if a.conn != nil {
+		_ = a.conn.Close()
+	}
+	a.conn, a.address = conn, address
+	return conn, nil
+}
+
+// call sends a request to the coordinator and processes its answer.
+func (a *Acquirer) call(f *quoter.Flight, conn *grpc.ClientConn, err error) {
+	a.metrics.calls.Inc(1)
+	var response *quoter.Response
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
+		var out *peerv1.AcquireResponse
+		// A connection that is being opened is waited for, as the call's timeout permits.
+		out, err = peerv1.NewQuotaServiceClient(conn).Acquire(ctx, quoter.EncodeRequest(f.Request), grpc.WaitForReady(true))
+		cancel()
+		if err == nil {
+			response, err = quoter.DecodeResponse(out)
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.flights--
+	now := a.bootClock()
+	if err != nil {
+		a.metrics.failures.Inc(1)
+		a.stock.Fail(f, now)
+		time.AfterFunc(failurePause, func() {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.ask()
+		})
+		return
+	}
+	if !a.silent.IsZero() {
+		eventer.CoordinatorAnswered.Log(now, "control", a.address, "silent", now.Sub(a.silent))
+	}
+	a.unanswered, a.silent = time.Time{}, time.Time{}
+	for _, v := range a.stock.Answer(f, response, now) {
+		if waiting, ok := a.waiting[v.ID]; ok {
+			delete(a.waiting, v.ID)
+			waiting <- v
+		}
+	}
+	a.ask()
+}
--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -93,6 +93,7 @@
 	metrics  *metrics
 	gauge    *gauger.Gauger
 	suspects SuspectTracker
+	quotas   QuotaKeeper
 	// stopSchedule returns the schedule of this host's graceful stop, nil while it is not stopping.
 	stopSchedule func() *drainer.Schedule
 	cutOff       atomic.Bool
@@ -236,6 +237,7 @@
 	view := a.viewer.View()
 	q := &query{answerer: a, request: r, view: view}
 	reply := q.answer(ctx)
+	q.returnToken(reply)
 	a.recordOutcome(q, reply)
 	return reply
 }
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"lycheelift.example/fleetd/acquirer"
 	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/drainer"
@@ -64,6 +65,9 @@
 	// once a leaf has answered.
 	lostConnections int
 	answered        bool
+
+	// permit is the permit of the tenant's quota. It is returned if the request ends without having run.
+	permit acquirer.Permit
 }
 
 // leafCall is a call to a leaf.
@@ -131,6 +135,9 @@
 	if wait := q.answerer.suspects.Blocked(q.request, now); wait > 0 {
 		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "requests like this one have ended the leaves that ran them"}
 	}
+	if reply := q.acquireToken(ctx); reply != nil {
+		return reply
+	}
 	defer q.reportSuspect()
 	if q.answerer.shouldDivide(q.view, q.shards) {
 		return q.gatherDivided(ctx)
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -225,13 +225,18 @@
 	c.followed = address
 }
 
+// Followed returns the address of the control host followed last, empty before the first.
+func (c *Client) Followed() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.followed
+}
+
 var errNeverFollowed = errors.New("no control host has been followed yet")
 
 // Report reports a request that is suspected of crashing the leaves that run it to the followed control host.
 func (c *Client) Report(ctx context.Context, loss *peerv1.Loss) error {
-	c.mu.Lock()
-	address := c.followed
-	c.mu.Unlock()
+	address := c.Followed()
 	if address == "" {
 		return errNeverFollowed
 	}
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -68,11 +68,14 @@
 	running, stop := context.WithCancel(context.Background())
 	logDone := make(chan error, 1)
 	go func() { logDone <- log.Run(running) }()
-	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), store.New(machine, proposer{log}, clock), log, clock)
+	state := store.New(machine, proposer{log}, clock)
+	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), state, log, clock)
+	quotas := keeper.NewQuotas(log, state.View, platform.DecodeDocument, s.quotaBounds(), clock, newBootClock())
+	go quotas.Run(running)
 	go controlKeeper.Run(running, folder)
 	go controlKeeper.FollowPeers(running, s.controls)
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
-	err = serveControl(ctx, s, log, controlKeeper, clock)
+	err = serveControl(ctx, s, log, controlKeeper, quotas, clock)
 	stop()
 	return errors.Join(err, <-logDone)
 }
@@ -111,12 +114,13 @@
 }
 
 // serveControl serves leaves, operators and other hosts until ctx ends.
-func serveControl(ctx context.Context, s *Settings, log *replica.Replica, controlKeeper *keeper.Keeper, clock func() time.Time) error {
+func serveControl(ctx context.Context, s *Settings, log *replica.Replica, controlKeeper *keeper.Keeper, quotas *keeper.Quotas, clock func() time.Time) error {
 	stopping := make(chan struct{})
 	_, options := linker.Options()
 	peers := grpc.NewServer(append(options, linker.KeepaliveOption())...)
 	peerv1.RegisterReplicaServiceServer(peers, log.Service())
 	peerv1.RegisterFollowServiceServer(peers, keeper.NewService(controlKeeper, stopping))
+	peerv1.RegisterQuotaServiceServer(peers, quotas)
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.bind)
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen on %s", s.bind)
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -8,6 +8,7 @@
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
 
+	"lycheelift.example/fleetd/acquirer"
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/fleetd/follower"
@@ -50,10 +51,13 @@
 	}
 	requestReceiver := receiver.New(func() time.Duration { return limits().IdleTimeout }, s.grace, clock)
 	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
+	quotas := acquirer.New(client.Followed, newBootClock(), acquirer.WithScope(metrics.Scope))
+	go quotas.Run(running)
 	helperClient := helper.NewClient(clock)
 	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
 	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStopSchedule(requestReceiver.Schedule),
+		answerer.WithQuotas(quotas),
 		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient))
 	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
 		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
--- a/fleetd/server/server.go
+++ b/fleetd/server/server.go
@@ -17,6 +17,7 @@
 	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
+	"lycheelift.example/lib/quoter"
 	settings "lycheelift.example/schema/gen/settings/fleetd"
 )
 
@@ -31,6 +32,8 @@
 	bind   string
 	grace  time.Duration
 	window time.Duration
+	// quotaWindow is the window over which the quotas of tenants are counted, 0 if the deployment does not bound them.
+	quotaWindow time.Duration
 	// tolerance is the number of control hosts that may fail at the same time.
 	tolerance int
 }
@@ -70,6 +73,8 @@
 	if s.window < minWindow {
 		fail("bounds.window", fmt.Errorf("%s is shorter than %s", s.window, minWindow))
 	}
+	s.quotaWindow, err = time.ParseDuration(in.Bounds.Quotawindow)
+	fail("bounds.quotawindow", err)
 	s.tolerance = int(math.Ceil(in.Tolerance))
 	if len(faults) > 0 {
 		return nil, errors.Join(append([]error{ErrSettings}, faults...)...)
@@ -92,6 +97,11 @@
 	return int64(s.Memory * mebibyte / quotaDivisor)
 }
 
+// quotaBounds returns the bounds of the quotas of tenants.
+func (s *Settings) quotaBounds() quoter.Bounds {
+	return quoter.NewBounds(s.quotaWindow, s.Bounds.Quotaover, s.Bounds.Quotaslack)
+}
+
 // controls returns the addresses at which the seeds serve other hosts. The internal port is the same on every host.
 func (s *Settings) controls() []string {
 	out := make([]string, 0, len(s.seeds))
--- a/lib/eventer/state.go
+++ b/lib/eventer/state.go
@@ -17,4 +17,9 @@
 	DepartureDecided    = define(5012, Info, "departure of a leaf recorded")
 	DepartureUndecided  = define(5013, Warning, "departure of a leaf not recorded")
 	EvacuationRefused   = define(5014, Warning, "evacuation of a data centre refused")
+
+	QuotasInForce       = define(5020, Info, "quotas of tenants are in force")
+	QuotasUnreadable    = define(5021, Error, "quotas of tenants cannot be read")
+	CoordinatorSilent   = define(5022, Warning, "no coordinator of quotas answers")
+	CoordinatorAnswered = define(5023, Info, "a coordinator of quotas answers")
 )
