acquirer: tell callers to return sooner while the coordinator may only be late

Cause: a request that waited in vain got a Retry-After of an election's duration although the coordinator answered others. Change: 0.25 s until no answer has come for 200 ms; the clock of a test moves, so that a lost call cannot hang it.

--- a/fleetd/acquirer/acquirer.go
+++ b/fleetd/acquirer/acquirer.go
@@ -32,9 +32,11 @@
 	silenceTimeout = 200 * time.Millisecond
 	// failurePause is the wait after a failed call before the next one.
 	failurePause = 10 * time.Millisecond
-	// electionWait is the retry delay of requests that were refused because no coordinator answers: an election usually takes
-	// so long.
+	// electionWait is the retry delay of requests that were refused because no coordinator has answered for silenceTimeout: an
+	// election usually takes so long.
 	electionWait = time.Second
+	// lateWait is the retry delay while the coordinator may only be late: it has answered within silenceTimeout.
+	lateWait = 250 * time.Millisecond
 )
 
 // errNoControl means that no control host is followed yet.
@@ -162,6 +164,9 @@
 	delete(a.waiting, id)
 	a.stock.Cancel(id)
 	a.metrics.unavailable.Inc(1)
+	if a.silent.IsZero() && a.control() != "" {
+		return Permit{Outcome: Unavailable, RetryAfter: lateWait}
+	}
 	return Permit{Outcome: Unavailable, RetryAfter: electionWait}
 }
 
--- a/fleetd/acquirer/acquirer_test.go
+++ b/fleetd/acquirer/acquirer_test.go
@@ -60,7 +60,7 @@
 }
 
 // Guards against a call for each request where several wait at the same time, and against rejected requests that are told one
-// and the same time. The clock stands still, so that no answer is late.
+// and the same time. The clock moves only while no coordinator answers, and so little that no answer is late.
 func TestRequestsThatWaitShareACall(t *testing.T) {
 	c := &coordinator{released: make(chan struct{}), tokens: 4}
 	address := serve(t, c)
@@ -79,7 +79,11 @@
 		ready.Add(1)
 		go func() {
 			ready.Done()
-			permits <- retryUntilAnswered(a)
+			permits <- retryUntilAnswered(a, func() {
+				mu.Lock()
+				defer mu.Unlock()
+				now = now.Add(100 * time.Microsecond)
+			})
 		}()
 	}
 	ready.Wait()
@@ -104,12 +108,14 @@
 	qt.Assert(t, len(c.wanted) < requests, qt.IsTrue, qt.Commentf("%v", c.wanted))
 }
 
-// retryUntilAnswered asks until a coordinator has answered, so that a slow machine does not change the result.
-func retryUntilAnswered(a *acquirer.Acquirer) acquirer.Permit {
+// retryUntilAnswered asks until a coordinator has answered, so that a slow machine does not change the result. It calls
+// advance after each attempt without an answer.
+func retryUntilAnswered(a *acquirer.Acquirer, advance func()) acquirer.Permit {
 	for {
 		if p := a.Acquire(context.Background(), "x", 0); p.Outcome != acquirer.Unavailable {
 			return p
 		}
+		advance()
 	}
 }
 
@@ -120,8 +126,10 @@
 	address := serve(t, c)
 	for _, control := range []string{"", address} {
 		a := acquirer.New(func() string { return control }, time.Now)
-		p := a.Acquire(context.Background(), "x", 20*time.Millisecond)
-		qt.Assert(t, p.Outcome, qt.Equals, acquirer.Unavailable)
-		qt.Assert(t, p.RetryAfter > 0, qt.IsTrue)
+		for p := (acquirer.Permit{}); p.RetryAfter < time.Second; { // Until it is known that the coordinator is not only late.
+			p = a.Acquire(context.Background(), "x", 20*time.Millisecond)
+			qt.Assert(t, p.Outcome, qt.Equals, acquirer.Unavailable)
+			qt.Assert(t, p.RetryAfter > 0, qt.IsTrue)
+		}
 	}
 }
