--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -104,6 +104,8 @@
 	suspects SuspectTracker
 	// tally counts the calls to services with a rollout.
 	tally *roller.Tally
+	// quotas permits requests of tenants that have a quota; nil if none is kept.
+	quotas QuotaKeeper
 	// stopSchedule returns the schedule of this host's graceful stop, nil while it is not stopping.
 	stopSchedule func() *drainer.Schedule
 	// confirmed reports whether the view that is taken next may be relied on for keys.
@@ -263,6 +265,7 @@
 	view := a.viewer.View()
 	q := &query{answerer: a, request: r, view: view, confirmed: confirmed}
 	reply := q.answer(ctx)
+	q.returnToken(reply)
 	a.recordOutcome(q, reply)
 	return reply
 }
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"lycheelift.example/fleetd/acquirer"
 	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/drainer"
@@ -71,6 +72,9 @@
 	// once a leaf has answered.
 	lostConnections int
 	answered        bool
+
+	// permit is the permit of the tenant's quota. It is returned if the request ends without having run.
+	permit acquirer.Permit
 }
 
 // leafCall is a call to a leaf.
@@ -152,6 +156,9 @@
 	if wait := q.answerer.suspects.Blocked(q.request, now); wait > 0 {
 		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "requests like this one have ended the leaves that ran them"}
 	}
+	if reply := q.acquireToken(ctx); reply != nil {
+		return reply
+	}
 	end, wait := q.answerer.suspects.Begin(ctx, q.request, q.deadline, now)
 	if wait > 0 {
 		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "a request like this one has ended the leaves that ran it, and another one is being tried"}
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -241,13 +241,17 @@
 	return c.followed, c.refollowed
 }
 
+// Control returns the address of the control host followed last, empty before the first.
+func (c *Client) Control() string {
+	address, _ := c.Followed()
+	return address
+}
+
 var errNeverFollowed = errors.New("no control host has been followed yet")
 
 // Report reports a request that is suspected of crashing the leaves that run it to the followed control host.
 func (c *Client) Report(ctx context.Context, loss *peerv1.Loss) error {
-	c.mu.Lock()
-	address := c.followed
-	c.mu.Unlock()
+	address := c.Control()
 	if address == "" {
 		return errNeverFollowed
 	}
@@ -256,9 +260,7 @@
 
 // ReportCounts sends counts of calls to services with a running rollout to the followed control host.
 func (c *Client) ReportCounts(ctx context.Context, counts []*peerv1.ServiceCounts) error {
-	c.mu.Lock()
-	address := c.followed
-	c.mu.Unlock()
+	address := c.Control()
 	if address == "" {
 		return errNeverFollowed
 	}
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -71,14 +71,19 @@
 	running, stop := context.WithCancel(context.Background())
 	logDone := make(chan error, 1)
 	go func() { logDone <- log.Run(running) }()
-	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), store.New(machine, proposer{log}, clock), log, clock,
+	state := store.New(machine, proposer{log}, clock)
+	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), state, log, clock,
 		keeper.WithReadSpacing(s.revoke/readSpacingDivisor), keeper.WithRollouts(s.exposure, s.Bounds.Exposure > 0, platform.DecodeDocument),
 		keeper.WithDecoder(platform.DecodeDocument))
+	quotas := keeper.NewQuotas(log, state.View, platform.DecodeDocument, s.quotaBounds(), clock, newBootClock())
+	if s.quotaWindow > 0 {
+		go quotas.Run(running) // Otherwise grants are prepared by the first request for one.
+	}
 	go controlKeeper.Run(running, folder)
 	go controlKeeper.RunRollouts(running)
 	go controlKeeper.FollowPeers(running, s.controls)
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
-	err = serveControl(ctx, s, log, controlKeeper, clock)
+	err = serveControl(ctx, s, log, controlKeeper, quotas, clock)
 	stop()
 	return errors.Join(err, <-logDone)
 }
@@ -117,7 +122,7 @@
 }
 
 // serveControl serves leaves, operators and other hosts until ctx ends.
-func serveControl(ctx context.Context, s *Settings, log *replica.Replica, controlKeeper *keeper.Keeper, clock func() time.Time) error {
+func serveControl(ctx context.Context, s *Settings, log *replica.Replica, controlKeeper *keeper.Keeper, quotas *keeper.Quotas, clock func() time.Time) error {
 	stopping := make(chan struct{})
 	_, options := linker.Options()
 	peers := grpc.NewServer(append(options, linker.KeepaliveOption())...)
@@ -125,6 +130,7 @@
 	service := keeper.NewService(controlKeeper, stopping)
 	peerv1.RegisterFollowServiceServer(peers, service)
 	peerv1.RegisterTrialServiceServer(peers, service)
+	peerv1.RegisterQuotaServiceServer(peers, quotas)
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.bind)
 	if err != nil {
 		return oops.In("server").Wrapf(err, "listen on %s", s.bind)
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -9,6 +9,7 @@
 	tally "github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
+	"lycheelift.example/fleetd/acquirer"
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/fleetd/confirmer"
 	"lycheelift.example/fleetd/exchanger"
@@ -59,12 +60,17 @@
 	}
 	requestReceiver := receiver.New(func() time.Duration { return limits().IdleTimeout }, s.grace, clock)
 	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
+	quotas := acquirer.New(client.Control, newBootClock(), acquirer.WithScope(metrics.Scope))
+	if s.quotaWindow > 0 {
+		go quotas.Run(running) // Otherwise tokens are only obtained when they are needed.
+	}
 	helperClient := helper.NewClient(clock)
 	confirmed, serves := confirmations(running, s, viewFollower, client, metrics.Scope, clock)
 	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
 	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStopSchedule(requestReceiver.Schedule),
-		answerer.WithTally(tally), answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient), answerer.WithConfirmation(confirmed))
+		answerer.WithTally(tally), answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient), answerer.WithConfirmation(confirmed),
+		answerer.WithQuotas(quotas))
 	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
 		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
 	ready := func() bool {
--- a/fleetd/server/keys_test.go
+++ b/fleetd/server/keys_test.go
@@ -69,7 +69,7 @@
 		Name: fmt.Sprintf("host-%d", host), Center: "a", Address: fmt.Sprintf("%s.%d", s.network, host), Ports: []int{s.ports[0], s.ports[0]},
 		Seeds: []string{s.address(1, s.ports[1])}, First: first, Data: s.folder, Tolerance: 1, Portion: 1, Gatherers: 1,
 		Listen: settings.Addresses{Control: s.address(host, s.ports[1]), Callers: s.address(host, s.ports[2]), Ready: s.address(host, s.ports[3])},
-		Bounds: settings.Bounds{Grace: "1s", Window: "10s", Slack: 58, Cold: 1, Strict: true, Revoke: "1s"},
+		Bounds: settings.Bounds{Grace: "1s", Window: "10s", Slack: 58, Cold: 1, Strict: true, Revoke: "1s", Quotawindow: "0s"},
 	}
 	parsed, err := server.Parse(in)
 	qt.Assert(s.t, err, qt.IsNil)
