exchanger: let superseded calls finish on their connection

Change: a call may state a time for which its connection is kept after it was superseded; the connection is reused if the answer arrives in that time, and closed if the share of connections is needed. Nothing sets the time yet. Result: tests of fleetd/exchanger pass three times with the race detector.

--- a/fleetd/exchanger/exchanger.go
+++ b/fleetd/exchanger/exchanger.go
@@ -48,6 +48,8 @@
 	ErrConnectionLost = errors.New("the connection to the leaf was lost")
 	// ErrTruncated means that the connection ended before the answer was complete. The leaf may have ended with it.
 	ErrTruncated = errors.New("the connection to the leaf ended in the middle of its answer")
+	// ErrSuperseded is the cause with which the context of a call ends when another call has answered in its place.
+	ErrSuperseded = errors.New("another call has answered")
 	// ErrInvalidAnswer means that the leaf sent bytes that are not a valid answer to the request.
 	ErrInvalidAnswer = errors.New("the leaf sent an invalid answer")
 )
@@ -127,7 +129,7 @@
 		e.discard(l)
 		return nil, err
 	}
-	if answer.Close || l.reader.Buffered() > 0 {
+	if answer.Close || answer.ID != c.Request.ID || l.reader.Buffered() > 0 {
 		e.discard(l)
 		return answer, nil
 	}
@@ -137,7 +139,7 @@
 
 // exchange sends the request and reads the answer.
 func (e *Exchanger) exchange(ctx context.Context, l *connection, c *carrier.Call) (*carrier.Answer, error) {
-	stop := context.AfterFunc(ctx, func() { _ = l.conn.SetDeadline(time.Unix(1, 0)) })
+	stop := e.interruptWhenDone(ctx, l, c)
 	defer stop()
 	l.meter.begin()
 	defer l.meter.end()
@@ -163,8 +165,7 @@
 		answer.Close = true
 	}
 	if !stop() {
-		// The context ended, and the connection's deadline may have been changed.
-		answer.Close = true
+		answer.Close = true // The context ended, and the connection may have been interrupted.
 	}
 	return answer, nil
 }
--- a/fleetd/exchanger/exchanger_test.go
+++ b/fleetd/exchanger/exchanger_test.go
@@ -278,3 +278,72 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, l.accepted.Load(), qt.Equals, int32(2))
 }
+
+// A call is superseded by its hedge. Guards against a new connection for each such call, and against an answer of the
+// superseded call that is taken for the next one's.
+func TestConnectionOfASupersededCallIsReused(t *testing.T) {
+	proceed := make(chan struct{})
+	l := startLeaf(t, func(conn net.Conn, r *http.Request) bool {
+		if r.Header.Get("Request-Id") == "1" {
+			<-proceed
+		}
+		return answerOK(conn, r)
+	})
+	e := newExchanger()
+	c := l.call("1")
+	c.Linger = time.Minute
+	ctx, cancel := context.WithCancelCause(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := e.Do(ctx, c)
+		done <- err
+	}()
+	qt.Assert(t, waitFor(func() bool { return l.requests.Load() == 1 }), qt.IsTrue)
+	cancel(exchanger.ErrSuperseded)
+	close(proceed)
+	qt.Assert(t, <-done, qt.IsNil)
+	a, err := e.Do(context.Background(), l.call("2"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, a.ID, qt.Equals, "2")
+	qt.Assert(t, l.accepted.Load(), qt.Equals, int32(1))
+}
+
+// All connections of the share belong to superseded calls of a paused leaf. Guards against a request that is refused because
+// of connections that nobody waits for.
+func TestSupersededCallMakesRoom(t *testing.T) {
+	proceed := make(chan struct{})
+	defer close(proceed)
+	l := startLeaf(t, func(conn net.Conn, r *http.Request) bool {
+		if r.Header.Get("Request-Id") == "1" {
+			<-proceed
+		}
+		return answerOK(conn, r)
+	})
+	e := newExchanger()
+	c := l.call("1")
+	c.Linger = time.Minute
+	ctx, cancel := context.WithCancelCause(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := e.Do(ctx, c)
+		done <- err
+	}()
+	qt.Assert(t, waitFor(func() bool { return l.requests.Load() == 1 }), qt.IsTrue)
+	cancel(exchanger.ErrSuperseded)
+	qt.Assert(t, waitFor(func() bool {
+		_, err := e.Do(context.Background(), l.call("2"))
+		return err == nil
+	}), qt.IsTrue)
+	qt.Assert(t, <-done, qt.IsNotNil)
+}
+
+// waitFor polls until a condition holds. It reports false if it does not within a generous time.
+func waitFor(condition func() bool) bool {
+	for range 2000 {
+		if condition() {
+			return true
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return false
+}
--- a/fleetd/exchanger/pool.go
+++ b/fleetd/exchanger/pool.go
@@ -19,14 +19,18 @@
 	meter   *meter
 	reader  *bufio.Reader
 	expires time.Time
+	// evicted is true once the connection no longer counts for its pool. The exchanger's lock guards it.
+	evicted bool
 }
 
 // pool is the set of connections to one address.
 type pool struct {
-	address  netip.AddrPort
-	open     int
-	idle     []*connection
-	lastUsed time.Time
+	address netip.AddrPort
+	open    int
+	idle    []*connection
+	// lingering are the connections of superseded calls that may still be answered, oldest first.
+	lingering []*connection
+	lastUsed  time.Time
 }
 
 // connect returns an idle connection that is still usable, or opens one within the host's share.
@@ -88,8 +92,8 @@
 	return l
 }
 
-// reserve counts a connection that is about to be opened. If the share would be exceeded, it closes an idle
-// connection first.
+// reserve counts a connection that is about to be opened. If the share would be exceeded, it closes an idle connection or one
+// of a superseded call first.
 func (e *Exchanger) reserve(c *carrier.Call) (*pool, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -100,18 +104,32 @@
 	}
 	p.lastUsed = e.clock()
 	if p.open >= max(c.MaxConnections, 1) {
-		if len(p.idle) == 0 {
+		if !p.evict() {
 			return nil, ErrBusy
 		}
-		oldest := p.idle[0]
-		p.idle = p.idle[1:]
-		p.open--
-		_ = oldest.conn.Close()
 	}
 	p.open++
 	return p, nil
 }
 
+// evict closes an idle connection or one of a superseded call. It reports false if there is none. The exchanger's lock must be
+// held.
+func (p *pool) evict() bool {
+	var oldest *connection
+	switch {
+	case len(p.idle) > 0:
+		oldest, p.idle = p.idle[0], p.idle[1:]
+	case len(p.lingering) > 0:
+		oldest, p.lingering = p.lingering[0], p.lingering[1:]
+	default:
+		return false
+	}
+	oldest.evicted = true
+	p.open--
+	_ = oldest.conn.Close()
+	return true
+}
+
 // release returns a connection to the pool for the next call.
 func (e *Exchanger) release(l *connection, c *carrier.Call, a *carrier.Answer) {
 	idleTimeout := c.IdleTimeout
@@ -124,6 +142,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if l.evicted {
+		return
+	}
 	l.expires = e.clock().Add(idleTimeout)
 	l.pool.idle = append(l.pool.idle, l)
 }
@@ -132,7 +153,10 @@
 	_ = l.conn.Close()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l.pool.open--
+	if !l.evicted {
+		l.evicted = true
+		l.pool.open--
+	}
 }
 
 // Sweep closes idle connections that have expired and removes pools that are no longer used. It must be called
--- a/lib/carrier/carrier.go
+++ b/lib/carrier/carrier.go
@@ -46,6 +46,9 @@
 	IdleTimeout time.Duration
 	// MaxBody is the maximum size of the answer's body in bytes.
 	MaxBody int64
+	// Linger is how long the call may still use its connection after another call has answered in its place. The connection
+	// can be reused if the answer arrives in this time. 0 closes the connection at once.
+	Linger time.Duration
 	// Gate must be passed before the first byte is sent.
 	Gate Gate
 	// Withdrawn, if set, reports that the call must not be sent any more. It is asked once there is a connection.
