answerer: let superseded calls finish where leaves report slowness

Cause: a call that loses against its hedge closed its connection, and the load of the leaf that was too slow was never heard. Change: where a leaf reports the slowness of its host and has room, a superseded call may finish within 250 ms; its answer tells the leaf's load, and the connection is reused. Leaves that report no slowness are called as before.

--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -35,6 +35,9 @@
 	// gatherShareNumerator/gatherShareDenominator of a leaf's connections are divided among the hosts that gather its
 	// portion; the rest is for hosts that replace them.
 	gatherShareNumerator, gatherShareDenominator = 3, 4
+	// lingerTime is how long a superseded call may take to finish: longer than most pauses of leaves, and well below the half
+	// second after which no leaf should work for a caller who has left.
+	lingerTime = 250 * time.Millisecond
 	// localFactor multiplies the share for leaves of the same data centre, which hosts of other data centres rarely
 	// call.
 	localFactor = 2
@@ -64,7 +67,7 @@
 	}
 	a.metrics.call(c.Kind)
 	choice := q.choice(c.Shard)
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithCancelCause(ctx)
 	running := &leafCall{cancel: cancel, planned: c, ticket: a.selector.Begin(c.Target.Leaf, &choice, c.Sent)}
 	q.running[c.Attempt] = running
 	q.sent = append(q.sent, running)
@@ -78,6 +81,9 @@
 			running.outgoing.IdleTimeout = scarceIdleTime
 		}
 	}
+	if q.route.Idempotent && a.selector.LetsFinish(c.Target.Leaf, c.Sent) {
+		running.outgoing.Linger = lingerTime
+	}
 	running.permit = &carrier.SendPermit{}
 	if alternative, ok := q.running[c.ExclusiveWith]; ok {
 		running.permit = alternative.permit
@@ -96,7 +102,10 @@
 	go func() {
 		answer, err := a.caller.Do(ctx, running.outgoing)
 		running.counted.Close()
-		a.observe(c.Target.Leaf, q.request.ID, answer)
+		own := a.observe(c.Target.Leaf, q.request.ID, answer)
+		if own && errors.Is(context.Cause(ctx), exchanger.ErrSuperseded) {
+			running.ticket.Late(loadReport(answer), a.clock())
+		}
 		results <- callResult{call: running, answer: answer, err: err}
 	}()
 }
@@ -143,7 +152,7 @@
 	if c.outgoing.Gate.Close() {
 		end = selector.Unsent
 	}
-	c.cancel()
+	c.cancel(exchanger.ErrSuperseded)
 	now := q.answerer.clock()
 	c.ticket.End(end, nil, now)
 	if end == selector.Unsent {
@@ -179,7 +188,7 @@
 // handleReturned classifies the result of a call and returns the event for the planner.
 func (q *query) handleReturned(r callResult) planner.Event {
 	c := r.call.planned
-	r.call.cancel()
+	r.call.cancel(nil)
 	result := planner.Result{Attempt: c.Attempt, Snapshot: c.Snapshot, Shard: c.Shard, Leaf: c.Target.Leaf.Name}
 	if _, ok := q.running[c.Attempt]; !ok {
 		return planner.Event{Kind: planner.Returned, Result: result} // Abandoned earlier; the planner ignores it.
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -79,7 +79,7 @@
 
 // leafCall is a call to a leaf.
 type leafCall struct {
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 	ticket   *selector.Ticket
 	planned  planner.Call
 	outgoing *carrier.Call
