--- a/fleetd/confirmer/confirmer.go
+++ b/fleetd/confirmer/confirmer.go
@@ -27,9 +27,9 @@
 	Followed() (string, <-chan struct{})
 }
 
-// Control asks control hosts for the position of the newest state.
+// Control asks control hosts for the position of the newest state. An urgent call is answered as soon as possible.
 type Control interface {
-	Confirm(ctx context.Context, address string) (*peerv1.ConfirmResponse, error)
+	Confirm(ctx context.Context, address string, urgent bool) (*peerv1.ConfirmResponse, error)
 }
 
 // Confirmer decides whether this host's state may be relied on. It is safe for concurrent use.
@@ -146,14 +146,14 @@
 	defer c.mu.Unlock()
 	now := c.uptime()
 	call, due := c.verifier.Send(now)
-	wait, timeout := c.verifier.Wait(now), c.verifier.Timeout()
+	wait, timeout, urgent := c.verifier.Wait(now), c.verifier.Timeout(), !c.verifier.Confirmed(now)
 	if !due {
 		return wait
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		answer, err := c.control.Confirm(ctx, address)
+		answer, err := c.control.Confirm(ctx, address, urgent)
 		c.receive(call, answer, err)
 	}()
 	return wait
--- a/fleetd/confirmer/confirmer_test.go
+++ b/fleetd/confirmer/confirmer_test.go
@@ -33,7 +33,7 @@
 
 func (f *fixture) Followed() (string, <-chan struct{}) { return "control", f.changed }
 
-func (f *fixture) Confirm(ctx context.Context, _ string) (*peerv1.ConfirmResponse, error) {
+func (f *fixture) Confirm(ctx context.Context, _ string, _ bool) (*peerv1.ConfirmResponse, error) {
 	version, delay := f.newest.Load(), time.Duration(f.delay.Load())
 	if f.lost.Load() {
 		delay = time.Hour
--- a/fleetd/keeper/confirm.go
+++ b/fleetd/keeper/confirm.go
@@ -18,8 +18,8 @@
 }
 
 // Confirm returns the position of a state that includes everything acknowledged before the call arrived.
-func (s *Service) Confirm(ctx context.Context, _ *peerv1.ConfirmRequest) (*peerv1.ConfirmResponse, error) {
-	out, err := s.keeper.reads.join(ctx, s.keeper.confirm)
+func (s *Service) Confirm(ctx context.Context, in *peerv1.ConfirmRequest) (*peerv1.ConfirmResponse, error) {
+	out, err := s.keeper.reads.join(ctx, in.GetUrgent(), s.keeper.confirm)
 	if err != nil {
 		return nil, status.Error(codes.Unavailable, err.Error())
 	}
@@ -47,6 +47,8 @@
 	// next is the read that begins when the running one ends; nil if no call waits for it.
 	next    *sharedRead
 	running bool
+	// hurry ends the wait for the next read, because an urgent call waits for it.
+	hurry chan struct{}
 }
 
 // sharedRead is one read. Its results may be used once done is closed.
@@ -56,16 +58,25 @@
 	err    error
 }
 
-// join waits for the result of a read that begins after the call.
-func (r *sharedReads) join(ctx context.Context, read func() (*peerv1.ConfirmResponse, error)) (*peerv1.ConfirmResponse, error) {
+// join waits for the result of a read that begins after the call. For an urgent call the read is not delayed by the spacing.
+func (r *sharedReads) join(ctx context.Context, urgent bool, read func() (*peerv1.ConfirmResponse, error)) (*peerv1.ConfirmResponse, error) {
 	r.mu.Lock()
 	if r.next == nil {
 		r.next = &sharedRead{done: make(chan struct{})}
 	}
 	joined := r.next
-	if !r.running {
+	if r.hurry == nil {
+		r.hurry = make(chan struct{}, 1)
+	}
+	switch {
+	case !r.running:
 		r.running = true
 		go r.run(read)
+	case urgent:
+		select {
+		case r.hurry <- struct{}{}:
+		default: // Another urgent call waits.
+		}
 	}
 	r.mu.Unlock()
 	select {
@@ -91,6 +102,9 @@
 		spaced := time.After(r.spacing)
 		current.result, current.err = read()
 		close(current.done)
-		<-spaced
+		select {
+		case <-spaced:
+		case <-r.hurry:
+		}
 	}
 }
--- a/fleetd/keeper/confirm_test.go
+++ b/fleetd/keeper/confirm_test.go
@@ -45,7 +45,7 @@
 				mu.Lock()
 				before := uint64(began)
 				mu.Unlock()
-				out, err := r.join(context.Background(), read)
+				out, err := r.join(context.Background(), false, read)
 				qt.Check(t, err != nil || out.GetIndex() > before, qt.IsTrue)
 			})
 		}
@@ -53,9 +53,32 @@
 		qt.Assert(t, began, qt.Equals, 4) // At 0, 15, 30 and 45 ms.
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		_, err := r.join(ctx, read)
+		_, err := r.join(ctx, false, read)
 		qt.Assert(t, err, qt.ErrorIs, context.Canceled)
 		synctest.Wait()
 		time.Sleep(time.Second)
 	})
 }
+
+// All hosts lose power and come back. Guards against hosts that serve nobody while the first confirmation waits for the time
+// between two reads.
+func TestUrgentCallIsNotDelayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := sharedReads{spacing: time.Minute}
+		read := func() (*peerv1.ConfirmResponse, error) {
+			time.Sleep(10 * time.Millisecond)
+			return &peerv1.ConfirmResponse{}, nil
+		}
+		began := time.Now()
+		for _, wait := range []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond} {
+			go func() {
+				time.Sleep(wait)
+				_, err := r.join(context.Background(), true, read)
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, time.Since(began) < time.Second, qt.IsTrue)
+			}()
+		}
+		time.Sleep(time.Hour)
+		synctest.Wait()
+	})
+}
--- a/fleetd/linker/confirm.go
+++ b/fleetd/linker/confirm.go
@@ -33,13 +33,14 @@
 }
 
 // Confirm asks the control host at an address for the position of the newest state. The connection is opened if there is
-// none, and replaced if the address has changed or the last calls on it were not answered in time.
-func (c *Confirmer) Confirm(ctx context.Context, address string) (*peerv1.ConfirmResponse, error) {
+// none, and replaced if the address has changed or the last calls on it were not answered in time. An urgent call is not
+// delayed to spare the control hosts.
+func (c *Confirmer) Confirm(ctx context.Context, address string, urgent bool) (*peerv1.ConfirmResponse, error) {
 	conn, err := c.connect(address)
 	if err != nil {
 		return nil, oops.In("linker").Wrapf(err, "connect to %s", address)
 	}
-	out, err := peerv1.NewFollowServiceClient(conn).Confirm(ctx, &peerv1.ConfirmRequest{})
+	out, err := peerv1.NewFollowServiceClient(conn).Confirm(ctx, &peerv1.ConfirmRequest{Urgent: urgent})
 	c.check(conn, status.Code(err) == codes.DeadlineExceeded)
 	return out, oops.In("linker").Wrapf(err, "confirm at %s", address)
 }
--- a/fleetd/linker/confirm_test.go
+++ b/fleetd/linker/confirm_test.go
@@ -55,7 +55,7 @@
 	confirm := func(timeout time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
-		_, err := c.Confirm(ctx, inner.Addr().String())
+		_, err := c.Confirm(ctx, inner.Addr().String(), false)
 		return err
 	}
 	for lost, connections := range []int32{1, 1, 2} { // Calls in a row without an answer.
