acquirer: ask another control host where one does not answer

Change: tokens that have not come within 8 ms are asked for by another control host too; the wait is a fifth of the route's target, at most 250 ms. Tokens that arrive twice are returned.

--- a/fleetd/acquirer/acquirer.go
+++ b/fleetd/acquirer/acquirer.go
@@ -19,9 +19,13 @@
 )
 
 const (
-	// maxWait bounds the wait for a token, and targetDivisor limits it to a fraction of the route's target.
-	maxWait       = 50 * time.Millisecond
-	targetDivisor = 4
+	// maxWait bounds the wait for a token, and targetDivisor limits it to a fraction of the route's target, so that a request
+	// that gets none is rejected before a quarter of its target has passed.
+	maxWait       = 250 * time.Millisecond
+	targetDivisor = 5
+	// hedgeDelay is the time without an answer after which the tokens are asked for by another control host too: twice a usual
+	// call. A lost packet or a frozen control host delays an answer by 200 ms or more.
+	hedgeDelay = 8 * time.Millisecond
 	// sweepInterval is the time between checks whether something is to be asked without a request that waits.
 	sweepInterval = 50 * time.Millisecond
 	// acquireTimeout bounds a call. Its answer is of use for the stock after the requests that waited for it have been refused.
@@ -64,8 +68,10 @@
 
 // Acquirer obtains tokens. It is safe for concurrent use.
 type Acquirer struct {
-	// control returns the address of the control host that is followed, empty if there is none.
+	// control returns the address of the control host that is followed, empty if there is none, and others returns those of
+	// the other control hosts.
 	control func() string
+	others  func() []string
 	// bootClock also counts the time for which the host was suspended.
 	bootClock func() time.Time
 	metrics   *metrics
@@ -77,17 +83,54 @@
 	// unanswered is the sending time of the first call since the last answer, or since the connection was replaced; zero after
 	// an answer. silent is the sending time of the first call without an answer when event 5027 was logged, otherwise zero.
 	unanswered, silent time.Time
-	conn               *grpc.ClientConn
-	address            string
+	// followed is the connection to the control host that is followed, and other one to another control host.
+	followed, other link
+	// turn counts the hedges that failed; it chooses the other control host.
+	turn int
+}
+
+// link is a connection to a control host. It has none while conn is nil.
+type link struct {
+	conn    *grpc.ClientConn
+	address string
+}
+
+func (l *link) close() {
+	if l.conn != nil {
+		_ = l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// dial returns the connection to an address. It is replaced when the address changes.
+func (l *link) dial(address string) (*grpc.ClientConn, error) {
+	if l.conn != nil && l.address == address {
+		return l.conn, nil
+	}
+	if address == "" {
+		return nil, errNoControl
+	}
+	conn, err := linker.Dial(address)
+	if err != nil {
+		return nil, err
+	}
+	l.close()
+	l.conn, l.address = conn, address
+	return conn, nil
 }
 
 type metrics struct {
-	stocked, acquired, denied, unavailable, returned, calls, failures tally.Counter
+	stocked, acquired, denied, unavailable, returned, calls, failures, hedges tally.Counter
 }
 
 // Option configures an Acquirer.
 type Option func(*Acquirer)
 
+// WithOthers sets the function that returns the addresses of the control hosts that are not followed.
+func WithOthers(others func() []string) Option {
+	return func(a *Acquirer) { a.others = others }
+}
+
 // WithScope sets the scope in which metrics are reported.
 func WithScope(s tally.Scope) Option {
 	return func(a *Acquirer) { a.metrics = newMetrics(s) }
@@ -100,13 +143,14 @@
 	return &metrics{
 		stocked: tokens("stock"), acquired: tokens("coordinator"), denied: tokens("denied"), unavailable: tokens("unavailable"),
 		returned: s.Counter("quota_returned"), calls: s.Counter("quota_calls"), failures: s.Counter("quota_call_failures"),
+		hedges: s.Counter("quota_hedges"),
 	}
 }
 
 // New returns an acquirer without tokens.
 func New(control func() string, bootClock func() time.Time, options ...Option) *Acquirer {
 	a := &Acquirer{
-		control: control, bootClock: bootClock, metrics: newMetrics(tally.NoopScope), stock: quoter.NewStock(),
+		control: control, others: func() []string { return nil }, bootClock: bootClock, metrics: newMetrics(tally.NoopScope), stock: quoter.NewStock(),
 		waiting: make(map[uint64]chan quoter.Verdict),
 	}
 	for _, o := range options {
@@ -124,9 +168,8 @@
 	})
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.conn != nil {
-		_ = a.conn.Close()
-	}
+	a.followed.close()
+	a.other.close()
 }
 
 // Acquire obtains a token for a request of a tenant. target is that of its route, 0 if it has none.
@@ -209,8 +252,43 @@
 		a.unanswered = now
 	}
 	a.flights++
-	conn, err := a.dial()
+	conn, err := a.followed.dial(a.control())
 	go a.call(f, conn, err)
+	if len(a.waiting) > 0 {
+		time.AfterFunc(hedgeDelay, func() { a.hedge(f) })
+	}
+}
+
+// hedge asks another control host for the tokens that a call has not brought yet.
+func (a *Acquirer) hedge(f *quoter.Flight) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	others := a.others()
+	if len(others) == 0 {
+		return
+	}
+	second := a.stock.Hedge(f, a.bootClock())
+	if second == nil {
+		return
+	}
+	conn, err := a.other.dial(others[a.turn%len(others)])
+	if err == nil {
+		a.metrics.hedges.Inc(1)
+		go a.callOther(second, conn)
+	}
+}
+
+// callOther sends a hedge and processes its answer. After a failure the next one goes to another control host.
+func (a *Acquirer) callOther(f *quoter.Flight, conn *grpc.ClientConn) {
+	response, err := acquire(f, conn)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.turn++
+		a.stock.Fail(f, a.bootClock())
+		return
+	}
+	a.deliver(f, response)
 }
 
 // reportSilence logs that no coordinator answers, and closes the connection: the network may have lost its state. The caller
@@ -218,33 +296,22 @@
 func (a *Acquirer) reportSilence(now time.Time) {
 	if a.silent.IsZero() {
 		a.silent = a.unanswered
-		eventer.CoordinatorSilent.Log(now, "control", a.address)
+		eventer.CoordinatorSilent.Log(now, "control", a.followed.address)
 	}
 	a.unanswered = now
-	if a.conn != nil {
-		_ = a.conn.Close()
-		a.conn = nil
-	}
+	a.followed.close()
 }
 
-// dial returns the connection to the control host that is followed. The caller must hold a.mu.
-func (a *Acquirer) dial() (*grpc.ClientConn, error) {
-	address := a.control()
-	if a.conn != nil && a.address == address {
-		return a.conn, nil
-	}
-	if address == "" {
-		return nil, errNoControl
-	}
-	conn, err := linker.Dial(address)
+// acquire sends a request to the coordinator.
+func acquire(f *quoter.Flight, conn *grpc.ClientConn) (*quoter.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
+	defer cancel()
+	// A connection that is being opened is waited for, as the call's timeout permits.
+	out, err := peerv1.NewQuotaServiceClient(conn).Acquire(ctx, quoter.EncodeRequest(f.Request), grpc.WaitForReady(true))
 	if err != nil {
 		return nil, err
 	}
-	if a.conn != nil {
-		_ = a.conn.Close()
-	}
-	a.conn, a.address = conn, address
-	return conn, nil
+	return quoter.DecodeResponse(out)
 }
 
 // call sends a request to the coordinator and processes its answer.
@@ -252,14 +319,7 @@
 	a.metrics.calls.Inc(1)
 	var response *quoter.Response
 	if err == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), acquireTimeout)
-		var out *peerv1.AcquireResponse
-		// A connection that is being opened is waited for, as the call's timeout permits.
-		out, err = peerv1.NewQuotaServiceClient(conn).Acquire(ctx, quoter.EncodeRequest(f.Request), grpc.WaitForReady(true))
-		cancel()
-		if err == nil {
-			response, err = quoter.DecodeResponse(out)
-		}
+		response, err = acquire(f, conn)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -276,14 +336,19 @@
 		return
 	}
 	if !a.silent.IsZero() {
-		eventer.CoordinatorAnswered.Log(now, "control", a.address, "silent", now.Sub(a.silent))
+		eventer.CoordinatorAnswered.Log(now, "control", a.followed.address, "silent", now.Sub(a.silent))
 	}
 	a.unanswered, a.silent = time.Time{}, time.Time{}
-	for _, v := range a.stock.Answer(f, response, now) {
+	a.deliver(f, response)
+	a.ask()
+}
+
+// deliver passes the results of an answer to the requests that wait for them. The caller must hold a.mu.
+func (a *Acquirer) deliver(f *quoter.Flight, response *quoter.Response) {
+	for _, v := range a.stock.Answer(f, response, a.bootClock()) {
 		if waiting, ok := a.waiting[v.ID]; ok {
 			delete(a.waiting, v.ID)
 			waiting <- v
 		}
 	}
-	a.ask()
 }
--- a/fleetd/acquirer/acquirer_test.go
+++ b/fleetd/acquirer/acquirer_test.go
@@ -133,3 +133,20 @@
 		}
 	}
 }
+
+// Load: the network loses packets, or the control host that is followed is frozen. Guards against requests below their quota that
+// are rejected because one call gets no answer.
+func TestAnotherControlHostIsAsked(t *testing.T) {
+	frozen, sound := &coordinator{released: make(chan struct{}), tokens: 5}, &coordinator{released: make(chan struct{}), tokens: 5}
+	close(sound.released)
+	defer close(frozen.released)
+	addresses := []string{serve(t, frozen), serve(t, sound)}
+	start := time.Unix(1000, 0)
+	a := acquirer.New(func() string { return addresses[0] }, func() time.Time { return start },
+		acquirer.WithOthers(func() []string { return addresses[1:] }))
+	permit := a.Acquire(context.Background(), "t", time.Minute)
+	qt.Assert(t, permit.Outcome, qt.Equals, acquirer.Permitted)
+	sound.mu.Lock()
+	defer sound.mu.Unlock()
+	qt.Assert(t, sound.wanted, qt.DeepEquals, []uint32{1})
+}
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -247,6 +247,20 @@
 	return address
 }
 
+// Others returns the addresses of the listed control hosts that are not followed. Different hosts begin with different ones.
+func (c *Client) Others() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]string, 0, len(c.controls))
+	for _, k := range c.controls {
+		if k.address != c.followed {
+			out = append(out, k.address)
+		}
+	}
+	rotate(out, c.host)
+	return out
+}
+
 var errNeverFollowed = errors.New("no control host has been followed yet")
 
 // Report reports a request that is suspected of crashing the leaves that run it to the followed control host.
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -60,7 +60,7 @@
 	}
 	requestReceiver := receiver.New(func() time.Duration { return limits().IdleTimeout }, s.grace, clock)
 	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
-	quotas := acquirer.New(client.Control, newBootClock(), acquirer.WithScope(metrics.Scope))
+	quotas := acquirer.New(client.Control, newBootClock(), acquirer.WithScope(metrics.Scope), acquirer.WithOthers(client.Others))
 	if s.quotaWindow > 0 {
 		go quotas.Run(running) // Otherwise tokens are only obtained when they are needed.
 	}
--- a/lib/quoter/quoter_test.go
+++ b/lib/quoter/quoter_test.go
@@ -279,3 +279,26 @@
 	qt.Assert(t, r.Grants[0].Tokens, qt.Equals, 5-full)
 	qt.Assert(t, r.Grants[0].Stock, qt.Equals, 0)
 }
+
+// A call and its hedge are both answered. Guards against a request that gets two tokens, against tokens that are lost, and against
+// settlements that are counted twice.
+func TestHedgeAsksOnlyForWhatIsWaitedFor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := quoter.NewStock()
+	id := s.Wait("t")
+	first := s.Next(now)
+	second := s.Hedge(first, now)
+	qt.Assert(t, second.Request.Asks, qt.DeepEquals, []quoter.Ask{{Tenant: "t", Wanted: 1}})
+	answer := func(f *quoter.Flight, stamp uint64) []quoter.Verdict {
+		return s.Answer(f, &quoter.Response{Epoch: 1, Stamp: stamp, Validity: time.Second, Grants: []quoter.Grant{{Tenant: "t", Tokens: 1}}}, now)
+	}
+	verdicts := answer(second, 1)
+	qt.Assert(t, verdicts, qt.HasLen, 1)
+	qt.Assert(t, verdicts[0].ID, qt.Equals, id)
+	qt.Assert(t, verdicts[0].Granted, qt.IsTrue)
+	qt.Assert(t, s.Hedge(first, now), qt.IsNil)
+	qt.Assert(t, answer(first, 2), qt.HasLen, 0)
+	now = now.Add(time.Second)
+	settlements := s.Next(now).Request.Asks[0].Settlements
+	qt.Assert(t, settlements, qt.DeepEquals, []quoter.Settlement{{Stamp: 2, Unrun: 1}})
+}
--- a/lib/quoter/stock.go
+++ b/lib/quoter/stock.go
@@ -52,6 +52,8 @@
 	sent    time.Time
 	waiting map[string][]uint64
 	renewed []*heldLot
+	// hedge is true if the flight repeats what another one asks for.
+	hedge bool
 }
 
 // Stock is the state of an entry host. It is not safe for concurrent use.
@@ -258,6 +260,27 @@
 	return out, out.Used > 0 || out.Renew
 }
 
+// Hedge returns a request that asks again for the tokens for which requests of a flight still wait, or nil if none does. It is
+// meant for another path to the coordinator. Tokens that arrive by both paths are returned.
+func (s *Stock) Hedge(f *Flight, now time.Time) *Flight {
+	out := &Flight{Request: &Request{Epoch: s.epoch}, sent: now, waiting: make(map[string][]uint64), hedge: true}
+	for _, a := range f.Request.Asks {
+		ids := slices.DeleteFunc(slices.Clone(f.waiting[a.Tenant]), func(id uint64) bool {
+			_, waits := s.waiters[id]
+			return !waits
+		})
+		if len(ids) == 0 {
+			continue
+		}
+		out.waiting[a.Tenant] = ids
+		out.Request.Asks = append(out.Request.Asks, Ask{Tenant: a.Tenant, Wanted: len(ids)})
+	}
+	if len(out.Request.Asks) == 0 {
+		return nil
+	}
+	return out
+}
+
 // Answer processes the answer to a request and returns the results for the requests that waited for it.
 func (s *Stock) Answer(f *Flight, r *Response, now time.Time) []Verdict {
 	if r.Epoch < s.epoch {
@@ -309,8 +332,10 @@
 			tokens--
 			v.Granted, v.Token = true, Token{tenant: g.Tenant, epoch: r.Epoch, stamp: r.Stamp}
 		case tokens > 0: // The answer is too late.
-			h := s.holding(g.Tenant)
-			h.waiting = append(h.waiting, id)
+			if !f.hedge {
+				h := s.holding(g.Tenant)
+				h.waiting = append(h.waiting, id)
+			}
 			continue
 		default:
 			v.RetryAfter = max(g.Retry+time.Duration(denied)*g.Step, time.Millisecond)
@@ -345,8 +370,12 @@
 	h.lots = append(h.lots, &heldLot{epoch: r.Epoch, stamp: r.Stamp, left: g.Stock, expires: f.sent.Add(r.Validity), validity: r.Validity})
 }
 
-// Fail processes the failure of a request. The requests that waited for it wait for the next one.
+// Fail processes the failure of a request. The requests that waited for it wait for the next one, or for the flight that a hedge
+// repeats.
 func (s *Stock) Fail(f *Flight, now time.Time) {
+	if f.hedge {
+		return
+	}
 	for tenant, ids := range f.waiting {
 		h := s.holding(tenant)
 		for _, id := range ids {
