fleetd: add the command explain

The command asks running entry hosts through their internal port (a service of its own beside GatherService) and prints text or JSON, one host in full or several side by side. API keys come from a file or standard input and are sent encrypted with a key pair of the host's process, because no message may carry them.

--- a/fleetd/command/command.go
+++ b/fleetd/command/command.go
@@ -46,6 +46,7 @@
 			return nil
 		},
 	})
+	out.AddCommand(newExplain(&path))
 	return out
 }
 
--- a/fleetd/process_test.go
+++ b/fleetd/process_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -72,3 +74,37 @@
 		}
 	}
 }
+
+// Guards against a host that does not answer explain before it has a configuration, and against an exit code that hides that
+// a host did not answer.
+func TestExplainOfAHostWithoutConfiguration(t *testing.T) {
+	binary := build(t)
+	path, _ := settings(t, "")
+	text, err := os.ReadFile(path)
+	qt.Assert(t, err, qt.IsNil)
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	_, port, _ := net.SplitHostPort(free.Addr().String())
+	qt.Assert(t, free.Close(), qt.IsNil)
+	qt.Assert(t, os.WriteFile(path, []byte(strings.Replace(string(text), "7740", port, 1)), 0o600), qt.IsNil)
+	explain := func() (string, int) {
+		c := exec.Command(binary, "explain", "http://n/all/2f", "--settings", path, "--key-file", "-")
+		c.Stdin = strings.NewReader("key-4711\n")
+		out, _ := c.CombinedOutput()
+		return string(out), c.ProcessState.ExitCode()
+	}
+	out, code := explain()
+	qt.Assert(t, code, qt.Equals, 4, qt.Commentf("%s", out))
+	host := exec.Command(binary, "entry", "--settings", path)
+	var log bytes.Buffer
+	host.Stdout, host.Stderr = &log, &log
+	qt.Assert(t, host.Start(), qt.IsNil)
+	for code != 0 && t.Context().Err() == nil {
+		out, code = explain()
+	}
+	qt.Assert(t, host.Process.Signal(syscall.SIGTERM), qt.IsNil)
+	qt.Assert(t, host.Wait(), qt.IsNil)
+	qt.Assert(t, out, qt.Contains, `rejected with 503 by the check "configuration": this host has no configuration yet, Retry-After 500.0ms`)
+	qt.Assert(t, log.String(), qt.Contains, `event="1045"`)
+	qt.Assert(t, out+log.String(), qt.Not(qt.Contains), "key-4711")
+}
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -12,6 +12,7 @@
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/fleetd/confirmer"
 	"lycheelift.example/fleetd/exchanger"
+	"lycheelift.example/fleetd/explainer"
 	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/fleetd/helper"
 	"lycheelift.example/fleetd/linker"
@@ -70,7 +71,11 @@
 		}
 	}()
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
-	peers := newPeers(helper.NewService(queryAnswerer, requestReceiver.Stopping, clock))
+	explain, err := explainer.NewService(s.Name, queryAnswerer, clock)
+	if err != nil {
+		return err
+	}
+	peers := newPeers(helper.NewService(queryAnswerer, requestReceiver.Stopping, clock), explain)
 	go func() {
 		if err := servePeers(running, s, peers); err != nil {
 			eventer.ServeFailed.Log(clock(), "address", s.bind, "error", err.Error())
@@ -81,7 +86,7 @@
 		<-ctx.Done()
 		eventer.Draining.Log(clock(), "host", s.Name)
 	}()
-	err := requestReceiver.Run(ctx, s.Listen.Callers, platform.NewIngress(queryAnswerer, limits, closing, clock))
+	err = requestReceiver.Run(ctx, s.Listen.Callers, platform.NewIngress(queryAnswerer, limits, closing, clock))
 	finishPortions(peers, requestReceiver.Schedule(), clock())
 	eventer.Stopped.Log(clock(), "host", s.Name)
 	return err
@@ -103,11 +108,12 @@
 	return hostConfirmer.Confirmed, hostConfirmer.Serves
 }
 
-// newPeers returns the server of the portions that this host gathers for other entry hosts.
-func newPeers(service *helper.Service) *grpc.Server {
+// newPeers returns the server of the portions that this host gathers for other entry hosts, and of explanations.
+func newPeers(service *helper.Service, explain *explainer.Service) *grpc.Server {
 	_, options := linker.Options()
 	peers := grpc.NewServer(options...)
 	peerv1.RegisterGatherServiceServer(peers, service)
+	peerv1.RegisterExplainServiceServer(peers, explain)
 	return peers
 }
 
--- a/fleetd/server/server.go
+++ b/fleetd/server/server.go
@@ -37,6 +37,9 @@
 	tolerance int
 }
 
+// Peers returns the address of the internal port, at which other hosts and operators reach this host.
+func (s *Settings) Peers() netip.AddrPort { return s.peers }
+
 // minRevoke is the shortest time in which removed keys can be refused everywhere: a confirmation takes a few round trips
 // between control hosts, and ten are due in that time.
 const minRevoke = 100 * time.Millisecond
