--- a/fleetd/answerer/explain.go
+++ b/fleetd/answerer/explain.go
@@ -55,6 +55,8 @@
 	// control host in contact with a leader.
 	Version uint64
 	Contact time.Time
+	// Evacuated holds the data centres that are out of use, in alphabetical order.
+	Evacuated []string
 	// StopsAt is the end of this host's graceful stop, zero while it is not stopping.
 	StopsAt time.Time
 	// Route is nil if there is none.
@@ -113,6 +115,12 @@
 	view, now := a.viewer.View(), a.clock()
 	q := &query{answerer: a, request: r, view: view, confirmed: confirmed}
 	out := &Explanation{Host: a.host, Center: a.center, At: now, Version: view.Version(), Contact: view.LastLeaderContact}
+	for center, evacuated := range view.Evacuated {
+		if evacuated {
+			out.Evacuated = append(out.Evacuated, center)
+		}
+	}
+	slices.Sort(out.Evacuated)
 	if s := a.stopSchedule(); s != nil {
 		out.StopsAt = s.End
 	}
--- a/fleetd/answerer/explain_test.go
+++ b/fleetd/answerer/explain_test.go
@@ -147,22 +147,36 @@
 // Guards against an explanation that names another leaf or another host than the request then gets.
 func TestExplainNamesTheChoice(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
-		f := newFleet(6)
+		f := newFleet(10)
 		f.leaves["s1a"], f.leaves["s2a"], f.leaves["s3a"] = sheds, refuses, f.answers("s3a", 50*time.Millisecond)
+		for _, name := range []string{"s4a", "s4b", "s4c", "s5a", "s5b", "s5c"} {
+			f.leaves[name] = refuses
+		}
 		a := f.answerer()
+		var omitted, forced int
 		for range 30 {
 			out := a.Explain(request("/all/2f", ""))
 			first := f.called()
 			ask(a, "/all/2f")
 			for _, s := range out.Shards {
-				chosen := s.Candidates[s.Choice]
 				primary := slices.IndexFunc(f.calls[first:], func(c *carrier.Call) bool { return strings.HasPrefix(c.Leaf, s.Service) })
+				qt.Assert(t, primary >= 0, qt.Equals, s.Choice >= 0, qt.Commentf(s.Service))
+				if s.Choice < 0 {
+					omitted++
+					continue
+				}
+				chosen := s.Candidates[s.Choice]
 				qt.Assert(t, f.calls[first+primary].Leaf, qt.Equals, chosen.Leaf.Name)
+				if s.Forced {
+					forced++
+					qt.Assert(t, chosen.BackingOff, qt.IsTrue)
+				}
 				if s.Runner >= 0 {
 					qt.Assert(t, s.Candidates[s.Runner].Cost >= chosen.Cost, qt.IsTrue)
 				}
 			}
 		}
+		qt.Assert(t, omitted > 0 && forced > 0, qt.IsTrue)
 	})
 	inBubble(t, func(t *testing.T) {
 		_, a, h := newHelpers()
--- a/fleetd/explainer/encode.go
+++ b/fleetd/explainer/encode.go
@@ -20,7 +20,7 @@
 		Host: e.Host, Center: e.Center, At: timestamppb.New(e.At), Version: e.Version, Stale: since(e.Contact, e.At), Stopping: until(e.StopsAt, e.At),
 		Priority: int32(e.Priority), Needed: uint32(e.Needed), //nolint:gosec // Configured, and bounded by the document.
 		Rejection: encodeRejection(e.Check, e.Rejection), Quota: encodeQuota(e),
-		Shards: encodeShards(e.Shards, e.At), Typical: present(e.Typical), Hedge: present(e.Hedge),
+		Shards: encodeShards(e.Shards, e.At), Typical: present(e.Typical), Hedge: present(e.Hedge), Evacuated: e.Evacuated,
 	}
 	if e.Route != nil {
 		out.Route, out.Public = e.Route.Name, e.Route.Public
@@ -77,7 +77,7 @@
 	out := &peerv1.ExplainLeaf{
 		Leaf: l.Name, Address: l.Address.String(), Center: l.Center, Program: l.Program, Slots: uint32(max(l.Slots, 0)), //nolint:gosec // Not negative.
 		Barred: string(c.Barred), Left: until(c.Until, now), Calls: uint32(c.Calls), //nolint:gosec // Not negative.
-		Assumed: c.Assumed, Ratio: c.Ratio, Failure: c.FailureRate, Known: c.Known,
+		Assumed: c.Assumed, Ratio: c.Ratio, Failure: c.FailureRate, Known: c.Known, Backing: c.BackingOff,
 	}
 	if now.Before(l.ColdUntil) {
 		out.Cold = until(l.ColdUntil, now)
--- a/fleetd/explainer/text.go
+++ b/fleetd/explainer/text.go
@@ -91,6 +91,9 @@
 		{"quota", describeQuota(m.GetQuota())},
 		{"result", describeResult(m)},
 	}
+	if len(m.GetEvacuated()) > 0 {
+		out = append(out, row{"evacuated", strings.Join(m.GetEvacuated(), " ")})
+	}
 	if m.GetTypical() != nil {
 		out = append(out, row{"latency", fmt.Sprintf("typical %s, hedge at %s", duration(m.GetTypical()), duration(m.GetHedge()))})
 	}
@@ -172,6 +175,9 @@
 		fmt.Fprintf(w, " (%s%% of the requests)", number(percent*s.GetShare()))
 	}
 	fmt.Fprintf(w, ": %s\n", describeChoice(s))
+	if len(s.GetLeaves()) == 0 {
+		return
+	}
 	table := newTable(w, "leaf", "address", "centre", "program", "state", "cold for", "calls", "slots", "reported load", "assumed", "latency", "failures", "cost")
 	for _, l := range s.GetLeaves() {
 		table.add("  "+l.GetLeaf(), l.GetAddress(), l.GetCenter(), orDash(l.GetProgram()), describeState(l), duration(l.GetCold()), fmt.Sprint(l.GetCalls()), fmt.Sprint(l.GetSlots()),
@@ -185,10 +191,8 @@
 func describeChoice(s *peerv1.ExplainShard) string {
 	out := s.GetLeaf()
 	switch {
-	case out == "" && s.GetOmitted():
-		return "left out, the other shards suffice"
 	case out == "":
-		return "no leaf may be called"
+		return describeNone(s)
 	case s.GetRunner() == "":
 		out += ", no other leaf may be called"
 	default:
@@ -203,8 +207,21 @@
 	return out
 }
 
+func describeNone(s *peerv1.ExplainShard) string {
+	out := "no leaf may be called"
+	if len(s.GetLeaves()) == 0 {
+		out = "no leaf is known that does not leave"
+	}
+	if s.GetOmitted() {
+		out += "; left out, the other shards suffice"
+	}
+	return out
+}
+
 func describeState(l *peerv1.ExplainLeaf) string {
 	switch {
+	case l.GetBarred() == "" && l.GetBacking():
+		return "callable although not reached recently"
 	case l.GetBarred() == "" && !l.GetKnown():
 		return "not called yet"
 	case l.GetBarred() == "":
--- a/lib/selector/inspect.go
+++ b/lib/selector/inspect.go
@@ -29,9 +29,11 @@
 	Leaf *cataloguer.Leaf
 	// Known is false if there are no statistics of the leaf yet.
 	Known bool
-	// Barred is the reason why the leaf may not be called. Until is when that ends, zero if it is not known.
-	Barred Reason
-	Until  time.Time
+	// Barred is the reason why the leaf may not be called. BackingOff is true if it could not be reached recently, even if
+	// Force permits a call. Until is when either ends, zero if it is not known.
+	Barred     Reason
+	BackingOff bool
+	Until      time.Time
 	// Calls is the number of this host's calls in flight.
 	Calls int
 	// Load is the number of calls of other hosts when the leaf last reported its load, at LoadAt, and Assumed the number
@@ -60,7 +62,10 @@
 	defer unlock()
 	out := Candidate{
 		Leaf: l, Known: known, Calls: len(r.open), Load: r.otherCalls, Assumed: r.expectedOtherCalls(now), LoadAt: r.loadAt,
-		Ratio: r.expectedRatio(now), FailureRate: r.expectedFailureRate(now),
+		Ratio: r.expectedRatio(now), FailureRate: r.expectedFailureRate(now), BackingOff: r.backingOff(now),
+	}
+	if now.Before(r.retryAt) {
+		out.Until = r.retryAt
 	}
 	cost, ok := r.cost(c, l, now)
 	switch {
@@ -69,16 +74,13 @@
 	case ok:
 		out.Cost = cost
 	case now.Before(r.leavingUntil):
-		out.Barred = Leaving
+		out.Barred, out.Until = Leaving, time.Time{}
 	case r.isBarred(now):
 		out.Barred, out.Until = Paused, r.pausedUntil
 	case c.ColdInterval > 0 && now.Before(l.ColdUntil) && now.Before(r.nextColdCall):
 		out.Barred, out.Until = ColdLimit, r.nextColdCall
 	default:
 		out.Barred = BackingOff
-		if now.Before(r.retryAt) {
-			out.Until = r.retryAt
-		}
 	}
 	return out
 }
