--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,7 @@
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/estimator"
 	"lycheelift.example/lib/eventer"
+	"lycheelift.example/lib/roller"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/lib/selector"
 )
@@ -33,6 +35,10 @@
 type SuspectTracker interface {
 	// Blocked returns how long a request must still be refused, or 0 if it may be executed.
 	Blocked(r *carrier.Request, now time.Time) time.Duration
+	// Begin returns how long a request must wait because another request like it is suspected and running. It returns 0 and a
+	// function if the request is suspected and may run: it must reach one leaf at most, and the function must be called when it
+	// has ended and was reported. It returns 0 and nil if the request is not suspected. No request ends later than its deadline.
+	Begin(ctx context.Context, r *carrier.Request, deadline, now time.Time) (end func(now time.Time), wait time.Duration)
 	// ReportLost records that the leaves that received a request closed their connections without an answer, and that no
 	// leaf answered it.
 	ReportLost(r *carrier.Request, now time.Time)
@@ -44,8 +50,11 @@
 type noSuspects struct{}
 
 func (noSuspects) Blocked(*carrier.Request, time.Time) time.Duration { return 0 }
-func (noSuspects) ReportLost(*carrier.Request, time.Time)            {}
-func (noSuspects) ReportAnswered(*carrier.Request, time.Time)        {}
+func (noSuspects) Begin(context.Context, *carrier.Request, time.Time, time.Time) (func(time.Time), time.Duration) {
+	return nil, 0
+}
+func (noSuspects) ReportLost(*carrier.Request, time.Time)     {}
+func (noSuspects) ReportAnswered(*carrier.Request, time.Time) {}
 
 // Viewer provides the configuration in force and the known leaves.
 type Viewer interface {
@@ -93,6 +102,10 @@
 	metrics  *metrics
 	gauge    *gauger.Gauger
 	suspects SuspectTracker
+	// tally counts the calls to services with a rollout.
+	tally *roller.Tally
+	// quotas permits requests of tenants that have a quota; nil if none is kept.
+	quotas QuotaKeeper
 	// stopSchedule returns the schedule of this host's graceful stop, nil while it is not stopping.
 	stopSchedule func() *drainer.Schedule
 	// confirmed reports whether the view that is taken next may be relied on for keys.
@@ -105,6 +118,11 @@
 	portionSize int
 	divider     *divider.Table
 	preview     Preview
+	// self is this host's own address among the entry hosts.
+	self string
+	// hosts is the number of entry hosts by which limits are divided.
+	hostsMu sync.Mutex
+	hosts   selector.HostCount
 	// lastEvaluation is the Unix time in nanoseconds at which the evidence was last evaluated.
 	lastEvaluation atomic.Int64
 }
@@ -137,6 +155,11 @@
 	return func(a *Answerer) { a.suspects = s }
 }
 
+// WithTally sets the tally of calls to services with a rollout.
+func WithTally(t *roller.Tally) Option {
+	return func(a *Answerer) { a.tally = t }
+}
+
 // WithStopSchedule sets the function that returns the schedule of this host's graceful stop, nil while it is not stopping.
 func WithStopSchedule(schedule func() *drainer.Schedule) Option {
 	return func(a *Answerer) { a.stopSchedule = schedule }
@@ -153,7 +176,7 @@
 		estimate: estimator.New(estimator.WithPermille(hedgePercentile), estimator.WithWindow(estimateWindow, estimateRefresh)),
 		budget:   budgeter.NewWindow(bounds.Window, budgetShare*bounds.Ratio),
 		random:   rand.Float64, metrics: newMetrics(tally.NoopScope), gauge: gauger.New(),
-		suspects: noSuspects{}, stopSchedule: func() *drainer.Schedule { return nil }, confirmed: func() bool { return true },
+		suspects: noSuspects{}, confirmed: func() bool { return true }, tally: roller.NewTally(host, 0), stopSchedule: func() *drainer.Schedule { return nil },
 	}
 	for _, o := range options {
 		o(a)
@@ -243,6 +266,7 @@
 	view := a.viewer.View()
 	q := &query{answerer: a, request: r, view: view, confirmed: confirmed}
 	reply := q.answer(ctx)
+	q.returnToken(reply)
 	a.recordOutcome(q, reply)
 	return reply
 }
--- a/fleetd/answerer/environment.go
+++ b/fleetd/answerer/environment.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/planner"
 	"lycheelift.example/lib/selector"
@@ -22,6 +23,11 @@
 	// slowFactor limits the age at which a call is hedged to a multiple of the typical latency. 5% of the calls to a
 	// healthy leaf take at least that long.
 	slowFactor = 1.8
+	// scarceBudget is the share of the budget for extra calls below which hedges are postponed.
+	scarceBudget = 0.5
+	// postponeNumerator/postponeDenominator is the age, in trigger intervals, from which hedges are not postponed. It lies
+	// between the first and the second check of a call.
+	postponeNumerator, postponeDenominator = 3, 2
 	// defaultTarget is used for routes without a target.
 	defaultTarget = time.Second
 )
@@ -30,50 +36,63 @@
 type environment query
 
 // Pin returns the leaves of each shard as one snapshot, numbered by the version of the configuration.
-func (e *environment) Pin(above uint64, _ time.Time) (*cataloguer.Snapshot, planner.Reason) {
+func (e *environment) Pin(above uint64, now time.Time) (*cataloguer.Snapshot, planner.Reason) {
 	version := e.view.Version()
 	if version <= above {
 		return nil, reasonNoReplica
 	}
 	out := &cataloguer.Snapshot{Number: version, Shards: uint32(len(e.shards)), Holders: make([][]*cataloguer.Leaf, len(e.shards))} //nolint:gosec // Bounded by the document.
 	for i, name := range e.shards {
-		out.Holders[i] = e.view.Holders[name]
+		out.Holders[i] = e.view.Candidates(name, everyCall, now)
 	}
 	return out, reasonNone
 }
 
 // Choose picks a leaf among those that hold the shard now: some of the pinned holders may have left or been evacuated since
 // the request arrived. Leaves that could not be reached recently are skipped as long as the other shards give sufficient
-// coverage.
+// coverage. The share of a running rollout applies to the first call for a shard only: hedges and retries go to the version in
+// use until the rollout has moved all traffic.
 func (e *environment) Choose(shard uint32, _ []*cataloguer.Leaf, tried []string, now time.Time) (planner.Target, bool) {
 	q := (*query)(e)
 	if q.keyRemoved() {
 		return planner.Target{}, false
 	}
 	c := q.choice(shard)
-	c.Holders, c.Tried = q.holders(shard), tried
-	leaf, ok := q.answerer.selector.Choose(c, now)
+	view, service, drawn := q.answerer.viewer.View(), q.shards[shard], everyCall
+	if len(tried) == 0 && len(view.Trials[service]) > 0 {
+		drawn = q.answerer.random()
+	}
+	c.Holders, c.Tried = view.Candidates(service, drawn, now), tried
+	decision, ok := q.answerer.selector.Decide(c, now)
+	if !ok && drawn < everyCall {
+		c.Holders = view.Candidates(service, everyCall, now)
+		decision, ok = q.answerer.selector.Decide(c, now)
+	}
 	if !ok && len(tried) == 0 {
 		if q.skippable() {
 			q.skipped++
 			return planner.Target{}, false
 		}
 		c.Force = true
-		leaf, ok = q.answerer.selector.Choose(c, now)
+		decision, ok = q.answerer.selector.Decide(c, now)
 	}
-	return planner.Target{Leaf: leaf}, ok
+	if ok {
+		q.answerer.metrics.choice(&decision)
+	}
+	return planner.Target{Leaf: decision.Leaf}, ok
 }
 
 // Callable reports whether a leaf still holds the shard and wants requests, and the request may still be sent.
 func (e *environment) Callable(shard uint32, leaf *cataloguer.Leaf, now time.Time) bool {
-	return !(*query)(e).keyRemoved() && !e.answerer.selector.Barred(leaf, now) && slices.ContainsFunc((*query)(e).holders(shard), func(l *cataloguer.Leaf) bool {
-		return l.Name == leaf.Name && l.Incarnation == leaf.Incarnation
-	})
+	return !(*query)(e).keyRemoved() && !e.answerer.selector.Barred(leaf, now) && e.answerer.viewer.View().Callable(e.shards[shard], leaf, now)
 }
 
+// everyCall stands for calls that a rollout moves only together with all others.
+const everyCall = 1.0
+
 // holders returns the leaves that hold a shard at present.
 func (q *query) holders(shard uint32) []*cataloguer.Leaf {
-	return q.answerer.viewer.View().Holders[q.shards[shard]]
+	return q.answerer.viewer.View().Candidates(q.shards[shard], everyCall, q.answerer.clock())
 }
 
 // skippable reports whether one more shard may be omitted.
@@ -91,20 +110,53 @@
 func (q *query) choice(shard uint32) selector.Choice {
 	a := q.answerer
 	return selector.Choice{
-		Center: a.center, Typical: q.typical(), Random: a.random, ColdInterval: q.coldInterval(q.shards[shard]),
+		Center: a.center, Typical: q.typical(), Random: a.random, Cold: q.coldShare(q.shards[shard]),
 	}
 }
 
-// coldInterval returns the minimum time between two requests of this host to a cold leaf, whose permitted rate is
-// divided among the entry hosts. It returns 0 if the service sets no rate.
-func (q *query) coldInterval(service string) time.Duration {
+// coldShare returns how the calls to cold leaves of a service are divided among the entry hosts. There is no limit if the service
+// sets no rate.
+func (q *query) coldShare(service string) selector.ColdShare {
 	s, ok := q.view.Table.Service(service)
 	if !ok || s.ColdRate <= 0 {
-		return 0
+		return selector.ColdShare{}
+	}
+	a := q.answerer
+	now := a.clock()
+	if !slices.ContainsFunc(a.viewer.View().Holders[service], func(l *cataloguer.Leaf) bool { return now.Before(l.ColdUntil) }) {
+		return selector.ColdShare{}
+	}
+	observe := (*selector.HostCount).Observe
+	if q.preview {
+		observe = (*selector.HostCount).Inspect
 	}
-	b := &q.answerer.bounds
-	rate := (s.ColdRate*b.Cold + b.ColdSlack) / float64(max(q.view.Entries, 1))
-	return time.Duration(float64(time.Second) / rate)
+	hosts, index, settled := a.countHosts(q.view, observe, now)
+	return selector.ColdShare{Bound: s.ColdRate*a.bounds.Cold + a.bounds.ColdSlack, Hosts: hosts, Index: index, Unsettled: !settled}
+}
+
+// hostObserver returns the number of hosts by which limits are divided, given the present one.
+type hostObserver func(c *selector.HostCount, hosts int, now time.Time) (count int, settled bool)
+
+// countHosts returns the number of entry hosts and the position of this host among them, -1 if it is not listed. It reports whether
+// the number has been known for long enough. The position is the number of listed hosts whose addresses sort before its own.
+func (a *Answerer) countHosts(view *follower.View, observe hostObserver, now time.Time) (hosts, index int, settled bool) {
+	listed, self := 0, false
+	for _, addresses := range view.Helpers {
+		listed += len(addresses)
+		for _, address := range addresses {
+			self = self || address == a.self
+			if address < a.self {
+				index++
+			}
+		}
+	}
+	if !self {
+		index = -1
+	}
+	a.hostsMu.Lock()
+	defer a.hostsMu.Unlock()
+	hosts, settled = observe(&a.hosts, max(view.Entries, listed, 1), now)
+	return hosts, index, settled
 }
 
 // targetOrDefault returns the route's target, or defaultTarget if it has none.
@@ -133,14 +185,54 @@
 	// While some leaves are slow, the percentile lies among their calls; the typical latency still separates slow calls
 	// from normal ones.
 	trigger = min(trigger, time.Duration(slowFactor*float64(q.typical())))
-	return max(minTrigger, min(trigger, q.targetOrDefault()*maxTriggerNumerator/maxTriggerDenominator))
+	return max(minTrigger, min(trigger, q.maxTrigger()))
+}
+
+// maxTrigger returns the greatest age at which a call is hedged, so that the hedge is answered before the target.
+func (q *query) maxTrigger() time.Duration {
+	return q.targetOrDefault() * maxTriggerNumerator / maxTriggerDenominator
 }
 
 // Primary does nothing: primary calls are counted when the request arrives.
 func (*environment) Primary(int) {}
 
-// Hedge spends budget on a hedge to a shard and reports whether there was enough.
-func (e *environment) Hedge(shard uint32) bool { return e.spendBudget(shard) }
+// Hedge spends budget on a hedge to a shard and reports whether there was enough. The planner asks again after another
+// trigger interval.
+func (e *environment) Hedge(shard uint32) bool {
+	if (*query)(e).postponesHedge(shard) {
+		e.answerer.metrics.postponedHedges.Inc(1)
+		return false
+	}
+	return e.spendBudget(shard)
+}
+
+// postponesHedge reports whether a hedge should wait for another trigger interval. Where leaves report slowness, many calls
+// are overdue only because their hosts are slow for a moment, and would use up the budget that calls to paused leaves need.
+// So while little of it is left, a part of a gathered answer is hedged at the second interval, unless that is after the
+// greatest age for a hedge.
+func (q *query) postponesHedge(shard uint32) bool {
+	a := q.answerer
+	if len(q.route.Gather) == 0 || !a.selector.ReportsSlowness() {
+		return false
+	}
+	now, trigger := a.clock(), (*environment)(q).Trigger()
+	age, ok := q.callAge(shard, now)
+	if !ok || age >= trigger*postponeNumerator/postponeDenominator || age+trigger > q.maxTrigger() {
+		return false
+	}
+	return a.budget.Share(q.shards[shard], q.slack(now), now) < scarceBudget
+}
+
+// callAge returns the age of the latest call to a shard that is still running.
+func (q *query) callAge(shard uint32, now time.Time) (time.Duration, bool) {
+	var sent time.Time
+	for _, c := range q.running {
+		if c.planned.Shard == shard && c.planned.Sent.After(sent) {
+			sent = c.planned.Sent
+		}
+	}
+	return now.Sub(sent), !sent.IsZero()
+}
 
 // Unsent reports whether a call is still waiting for a connection.
 func (e *environment) Unsent(c planner.Call) bool {
--- a/fleetd/answerer/explain.go
+++ b/fleetd/answerer/explain.go
@@ -5,10 +5,14 @@
 	"slices"
 	"time"
 
+	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/divider"
+	"lycheelift.example/lib/roller"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/lib/selector"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // Names of the checks that can reject a request, in their order.
@@ -42,9 +46,12 @@
 
 // QuotaState is the state of a tenant's quota on this host.
 type QuotaState struct {
-	// Stock is the number of tokens on this host, and ValidUntil the end of their validity.
+	// Stock is the number of tokens on this host, and ValidUntil is when the first of them expire. Without tokens, ValidUntil is
+	// zero, and the coordinator decides on the request.
 	Stock      float64
 	ValidUntil time.Time
+	// Silence is the time for which no coordinator has answered, 0 if the latest calls were answered.
+	Silence time.Duration
 }
 
 // Explanation describes what this host would do with a request.
@@ -84,15 +91,46 @@
 	// Share is the share of the route's requests that go to the service, 1 for the shards of a query.
 	Share      float64
 	Candidates []selector.Candidate
-	// Choice and Runner are positions of candidates, -1 for none. Chance is true if the random part of the costs can
-	// reverse their order.
+	// Choice and Runner are positions of candidates, -1 for none. They do not include the random part of the costs. Odds is the
+	// probability, from 0 to 1, that Choice remains the first with it.
 	Choice, Runner int
-	Chance         bool
+	Odds           float64
+	// Group names the leaves from which the candidates are drawn, and Rollout is the newest order of the service. They are empty
+	// and nil if the service has none.
+	Group   Group
+	Rollout *RolloutState
+	// Trial is the choice for the requests that the running rollout moves, nil if it moves none or all. If it has no choice, these
+	// requests are sent like the others.
+	Trial *ShardChoice
 	// Forced is true if leaves that could not be reached recently were considered too. Omitted is true if the shard is left
 	// out because the others suffice.
 	Forced, Omitted bool
 }
 
+// Group is the part of a service's leaves from which candidates are drawn.
+type Group string
+
+// Groups of leaves.
+const (
+	// Stable leaves have the version in use.
+	Stable Group = "stable"
+	// Trial leaves have the ordered version.
+	Trial Group = "trial"
+	// Substitute leaves have another version than the one in use, which has no leaves.
+	Substitute Group = "substitute"
+)
+
+// RolloutState is the newest order for a service.
+type RolloutState struct {
+	// Baseline is the version in use, and Target the ordered one.
+	Baseline, Target string
+	// Running is true while the order is in progress, and Share, from 0 to 1, is the share of the requests that it moves.
+	Running bool
+	Share   float64
+	// Suspended is true if the host does not use the share, because it has lost contact with the control hosts.
+	Suspended bool
+}
+
 // PortionChoice is the choice among the hosts that may gather a portion.
 type PortionChoice struct {
 	Portion    divider.Portion
@@ -113,7 +151,7 @@
 func (a *Answerer) Explain(r *carrier.Request) *Explanation {
 	confirmed := a.confirmed()
 	view, now := a.viewer.View(), a.clock()
-	q := &query{answerer: a, request: r, view: view, confirmed: confirmed}
+	q := &query{answerer: a, request: r, view: view, confirmed: confirmed, preview: true}
 	out := &Explanation{Host: a.host, Center: a.center, At: now, Version: view.Version(), Contact: view.LastLeaderContact}
 	for center, evacuated := range view.Evacuated {
 		if evacuated {
@@ -146,7 +184,7 @@
 func (q *query) previewChecks(out *Explanation, now time.Time) (string, *carrier.Reply) {
 	preview := &q.answerer.preview
 	var overQuota *carrier.Reply
-	if q.tenant != nil && preview.Quota != nil {
+	if q.tenant != nil && q.tenant.Limited() && preview.Quota != nil {
 		var state QuotaState
 		state, overQuota = preview.Quota(q.tenant, now)
 		out.Quota = &state
@@ -180,7 +218,7 @@
 	default:
 		out.Shards = q.explainShards(now)
 	}
-	callable := slices.ContainsFunc(out.Shards, func(s ShardChoice) bool { return s.Choice >= 0 })
+	callable := slices.ContainsFunc(out.Shards, func(s ShardChoice) bool { return s.Choice >= 0 || s.Trial != nil && s.Trial.Choice >= 0 })
 	if !callable {
 		q.shards = services(out.Shards)
 		out.Check, out.Rejection = checkLeaves, q.refused(reasonNoReplica)
@@ -225,14 +263,13 @@
 }
 
 func (q *query) explainShard(shard uint32, now time.Time) ShardChoice {
+	service, view := q.shards[shard], q.answerer.viewer.View()
 	c := q.choice(shard)
-	c.Holders = q.holders(shard)
-	out := ShardChoice{Service: q.shards[shard], Share: 1}
-	inspect := func() {
-		out.Candidates = q.answerer.selector.Inspect(c, now)
-		out.Choice, out.Runner, out.Chance = selector.Preferred(out.Candidates)
-	}
-	inspect()
+	c.Holders = view.Candidates(service, everyCall, now)
+	out := ShardChoice{Service: service, Share: 1, Rollout: rolloutState(view, service, now)}
+	out.Group = groupOf(view.Rollouts[service], c.Holders)
+	out.Trial = q.explainTrial(c, view, out.Rollout, service, now)
+	q.inspect(&out, c, now)
 	switch {
 	case out.Choice >= 0:
 	case q.skippable():
@@ -240,11 +277,56 @@
 		out.Omitted = true
 	default:
 		c.Force, out.Forced = true, true
-		inspect()
+		q.inspect(&out, c, now)
 	}
 	return out
 }
 
+// inspect sets the candidates and the choice among them.
+func (q *query) inspect(s *ShardChoice, c selector.Choice, now time.Time) {
+	s.Candidates = q.answerer.selector.Inspect(c, now)
+	s.Choice, s.Runner, s.Odds = selector.Preferred(s.Candidates)
+}
+
+// explainTrial returns the choice for the requests that a running rollout moves, nil if it moves none or all.
+func (q *query) explainTrial(c selector.Choice, view *follower.View, r *RolloutState, service string, now time.Time) *ShardChoice {
+	if r == nil || !r.Running || r.Suspended || r.Share <= 0 || r.Share >= 1 || len(view.Trials[service]) == 0 {
+		return nil
+	}
+	c.Holders = view.Candidates(service, 0, now) // 0 is below every share.
+	out := &ShardChoice{Service: service, Share: r.Share, Group: Trial}
+	q.inspect(out, c, now)
+	return out
+}
+
+// rolloutState returns the newest order for a service, nil if there is none.
+func rolloutState(view *follower.View, service string, now time.Time) *RolloutState {
+	r := view.Rollouts[service]
+	if r == nil {
+		return nil
+	}
+	out := &RolloutState{Baseline: r.GetBaseline(), Target: r.GetTarget(), Running: roller.Running(r)}
+	if out.Running {
+		out.Share, out.Suspended = float64(r.GetShare())/roller.FullShare, !view.Fresh(now)
+	}
+	return out
+}
+
+// groupOf returns the group to which candidates belong, empty if the service has no order or there are no candidates.
+func groupOf(r *statev1.Rollout, candidates []*cataloguer.Leaf) Group {
+	if r == nil || len(candidates) == 0 {
+		return ""
+	}
+	switch roller.RoleOf(r, candidates[0].Program) {
+	case roller.Stable:
+		return Stable
+	case roller.Trial:
+		return Trial
+	default:
+		return Substitute
+	}
+}
+
 // explainPortions returns the choices for each portion of a divided query.
 func (q *query) explainPortions(now time.Time) []PortionChoice {
 	a := q.answerer
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -8,10 +8,12 @@
 	"strconv"
 	"time"
 
+	"lycheelift.example/fleetd/acquirer"
 	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/planner"
+	"lycheelift.example/lib/roller"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/lib/selector"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
@@ -42,6 +44,8 @@
 	key *keyUse
 	// confirmed is true if the view may be relied on for keys. It was determined before the view was taken.
 	confirmed bool
+	// preview is true if the request is only explained, so that no state may change.
+	preview bool
 	// shards are the services that are called: those that the route gathers, or the one picked from its traffic split.
 	shards   []string
 	deadline time.Time
@@ -70,6 +74,9 @@
 	// once a leaf has answered.
 	lostConnections int
 	answered        bool
+
+	// permit is the permit of the tenant's quota. It is returned if the request ends without having run.
+	permit acquirer.Permit
 }
 
 // leafCall is a call to a leaf.
@@ -80,6 +87,8 @@
 	outgoing *carrier.Call
 	// permit is shared with an alternative call; at most one of the two is sent.
 	permit *carrier.SendPermit
+	// counted is nil if the service has no rollout.
+	counted *roller.Call
 	// notRun is true when it is certain that the leaf has not executed the call and never will.
 	notRun bool
 }
@@ -155,6 +164,19 @@
 	if _, reply := q.refusal(now); reply != nil {
 		return reply
 	}
+	if reply := q.acquireToken(ctx); reply != nil {
+		return reply
+	}
+	end, wait := q.answerer.suspects.Begin(ctx, q.request, q.deadline, now)
+	if wait > 0 {
+		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "a request like this one has ended the leaves that ran it, and another one is being tried"}
+	}
+	if end != nil {
+		defer func() { end(q.answerer.clock()) }()
+		single := *q.route
+		single.Attempts = 1 // A suspected request crashes at most one leaf of each shard.
+		q.route = &single
+	}
 	defer q.reportSuspect()
 	if q.answerer.shouldDivide(q.view, q.shards) {
 		return q.gatherDivided(ctx)
--- a/fleetd/explainer/encode.go
+++ b/fleetd/explainer/encode.go
@@ -48,6 +48,7 @@
 	out := &peerv1.ExplainQuota{Limited: e.Tenant.Limited(), Rate: e.Tenant.Rate, Burst: e.Tenant.Burst}
 	if q := e.Quota; q != nil {
 		out.Known, out.Stock, out.Valid = true, q.Stock, until(q.ValidUntil, e.At)
+		out.Silence = present(q.Silence)
 	}
 	return out
 }
@@ -55,19 +56,31 @@
 func encodeShards(in []answerer.ShardChoice, now time.Time) []*peerv1.ExplainShard {
 	out := make([]*peerv1.ExplainShard, 0, len(in))
 	for i := range in {
-		s := &in[i]
-		m := &peerv1.ExplainShard{Service: s.Service, Share: s.Share, Chance: s.Chance, Forced: s.Forced, Omitted: s.Omitted}
-		if s.Choice >= 0 {
-			m.Leaf = s.Candidates[s.Choice].Leaf.Name
-		}
-		if s.Runner >= 0 {
-			m.Runner = s.Candidates[s.Runner].Leaf.Name
-			m.Margin = s.Candidates[s.Runner].Cost - s.Candidates[s.Choice].Cost
-		}
-		for j := range s.Candidates {
-			m.Leaves = append(m.Leaves, encodeLeaf(&s.Candidates[j], now))
-		}
-		out = append(out, m)
+		out = append(out, encodeShard(&in[i], now))
+	}
+	return out
+}
+
+// minChance is the probability of another choice from which chance is said to decide.
+const minChance = 0.001
+
+func encodeShard(s *answerer.ShardChoice, now time.Time) *peerv1.ExplainShard {
+	out := &peerv1.ExplainShard{Service: s.Service, Share: s.Share, Odds: s.Odds, Forced: s.Forced, Omitted: s.Omitted, Group: string(s.Group)}
+	if s.Choice >= 0 {
+		out.Leaf, out.Chance = s.Candidates[s.Choice].Leaf.Name, s.Odds < 1-minChance
+	}
+	if s.Runner >= 0 {
+		out.Runner = s.Candidates[s.Runner].Leaf.Name
+		out.Margin = s.Candidates[s.Runner].Cost - s.Candidates[s.Choice].Cost
+	}
+	for i := range s.Candidates {
+		out.Leaves = append(out.Leaves, encodeLeaf(&s.Candidates[i], now))
+	}
+	if r := s.Rollout; r != nil {
+		out.Rollout = &peerv1.ExplainRollout{Baseline: r.Baseline, Target: r.Target, Running: r.Running, Share: r.Share, Suspended: r.Suspended}
+	}
+	if s.Trial != nil {
+		out.Trial = encodeShard(s.Trial, now)
 	}
 	return out
 }
@@ -85,6 +98,12 @@
 	if !c.LoadAt.IsZero() {
 		out.Load, out.Age = &c.Load, since(c.LoadAt, now)
 	}
+	if c.Reported > 0 {
+		out.Slowness = &c.Reported
+	}
+	if c.Slowness > 0 {
+		out.Expected = &c.Slowness
+	}
 	if c.Barred == "" {
 		out.Cost = &c.Cost
 	}
--- a/fleetd/explainer/text.go
+++ b/fleetd/explainer/text.go
@@ -133,7 +133,15 @@
 	if !q.GetKnown() {
 		return out + ", this host keeps no tokens"
 	}
-	return fmt.Sprintf("%s, %s tokens here for %s", out, number(q.GetStock()), duration(q.GetValid()))
+	if q.GetStock() > 0 {
+		out += fmt.Sprintf(", %s tokens here for %s", number(q.GetStock()), duration(q.GetValid()))
+	} else {
+		out += ", no tokens here: the coordinator decides"
+	}
+	if q.GetSilence() != nil {
+		out += ", no coordinator has answered for " + duration(q.GetSilence())
+	}
+	return out
 }
 
 func describeResult(m *peerv1.ExplainResponse) string {
@@ -158,7 +166,7 @@
 	}
 	callable := 0
 	for _, s := range m.GetShards() {
-		if s.GetLeaf() != "" {
+		if s.GetLeaf() != "" || s.GetTrial().GetLeaf() != "" {
 			callable++
 		}
 	}
@@ -175,19 +183,56 @@
 		fmt.Fprintf(w, " (%s%% of the requests)", number(percent*s.GetShare()))
 	}
 	fmt.Fprintf(w, ": %s\n", describeChoice(s))
+	if s.GetRollout() != nil {
+		fmt.Fprintf(w, "  rollout %s\n", describeRollout(s))
+	}
+	writeLeaves(w, s)
+	if trial := s.GetTrial(); trial != nil {
+		fmt.Fprintf(w, "  %s: %s\n", trialLabel(trial), describeTrial(trial))
+		writeLeaves(w, trial)
+	}
+}
+
+func writeLeaves(w io.Writer, s *peerv1.ExplainShard) {
 	if len(s.GetLeaves()) == 0 {
 		return
 	}
-	table := newTable(w, "leaf", "address", "centre", "program", "state", "cold for", "calls", "slots", "reported load", "assumed", "latency", "failures", "cost")
+	table := newTable(w, "leaf", "address", "centre", "program", "state", "cold for", "calls", "slots", "reported load", "assumed", "reported slowness", "assumed", "latency", "failures", "cost")
 	for _, l := range s.GetLeaves() {
 		table.add("  "+l.GetLeaf(), l.GetAddress(), l.GetCenter(), orDash(l.GetProgram()), describeState(l), duration(l.GetCold()), fmt.Sprint(l.GetCalls()), fmt.Sprint(l.GetSlots()),
-			describeLoad(l), number(l.GetAssumed()), number(l.GetRatio()), number(percent*l.GetFailure())+"%", describeCost(l))
+			describeLoad(l), number(l.GetAssumed()), describeSlowness(l), optionalNumber(l.Expected), number(l.GetRatio()), number(percent*l.GetFailure())+"%", optionalNumber(l.Cost))
 	}
 	table.flush()
 }
 
 const percent = 100
 
+// describeRollout describes the newest rollout of a service, the share in force and the group that the other calls are drawn from.
+func describeRollout(s *peerv1.ExplainShard) string {
+	r := s.GetRollout()
+	out := fmt.Sprintf("from %s to %s, ", orDash(r.GetBaseline()), orDash(r.GetTarget()))
+	switch {
+	case !r.GetRunning():
+		out += "ended"
+	case r.GetSuspended():
+		out += "share " + number(percent*r.GetShare()) + "% not used without contact to a leader"
+	default:
+		out += "share " + number(percent*r.GetShare()) + "%"
+	}
+	return out + "; drawn from the group " + orDash(s.GetGroup())
+}
+
+func trialLabel(trial *peerv1.ExplainShard) string {
+	return fmt.Sprintf("%s%% of the first calls, drawn from the group %s", number(percent*trial.GetShare()), trial.GetGroup())
+}
+
+func describeTrial(trial *peerv1.ExplainShard) string {
+	if trial.GetLeaf() == "" {
+		return "no leaf may be called, so they go like the others"
+	}
+	return describeChoice(trial)
+}
+
 func describeChoice(s *peerv1.ExplainShard) string {
 	out := s.GetLeaf()
 	switch {
@@ -199,7 +244,7 @@
 		out += fmt.Sprintf(", then %s, which costs %s more", s.GetRunner(), number(s.GetMargin()))
 	}
 	if s.GetChance() {
-		out += " (so close that chance decides)"
+		out += fmt.Sprintf(" (chance decides, the first with a probability of %s%%)", number(percent*s.GetOdds()))
 	}
 	if s.GetForced() {
 		out += "; only leaves that could not be reached recently are left"
@@ -239,11 +284,18 @@
 	return fmt.Sprintf("%s, %s ago", number(l.GetLoad()), duration(l.GetAge()))
 }
 
-func describeCost(l *peerv1.ExplainLeaf) string {
-	if l.Cost == nil {
+func describeSlowness(l *peerv1.ExplainLeaf) string {
+	if l.Slowness == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%s, %s ago", number(l.GetSlowness()), duration(l.GetAge()))
+}
+
+func optionalNumber(v *float64) string {
+	if v == nil {
 		return "-"
 	}
-	return number(l.GetCost())
+	return number(*v)
 }
 
 func writePortion(w io.Writer, p *peerv1.ExplainPortion) {
@@ -326,13 +378,27 @@
 func (c *comparison) setShards(host int, shards []*peerv1.ExplainShard) {
 	for _, s := range shards {
 		c.set(host, "service "+s.GetService(), describeChoice(s))
-		for _, l := range s.GetLeaves() {
-			text := fmt.Sprintf("cost %s, calls %d, latency %s", describeCost(l), l.GetCalls(), number(l.GetRatio()))
-			if l.GetBarred() != "" {
-				text = describeState(l)
-			}
-			c.set(host, "  "+l.GetLeaf(), text)
+		if s.GetRollout() != nil {
+			c.set(host, "  rollout of "+s.GetService(), describeRollout(s))
+		}
+		c.setLeaves(host, s.GetLeaves())
+		if trial := s.GetTrial(); trial != nil {
+			c.set(host, "  trial of "+s.GetService(), trialLabel(trial)+": "+describeTrial(trial))
+			c.setLeaves(host, trial.GetLeaves())
+		}
+	}
+}
+
+func (c *comparison) setLeaves(host int, leaves []*peerv1.ExplainLeaf) {
+	for _, l := range leaves {
+		text := fmt.Sprintf("%s, cost %s, calls %d, latency %s", orDash(l.GetProgram()), optionalNumber(l.Cost), l.GetCalls(), number(l.GetRatio()))
+		if l.Expected != nil {
+			text += ", slowness " + number(l.GetExpected())
+		}
+		if l.GetBarred() != "" {
+			text = orDash(l.GetProgram()) + ", " + describeState(l)
 		}
+		c.set(host, "  "+l.GetLeaf(), text)
 	}
 }
 
--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/router"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // Decoder decodes and validates a configuration document.
@@ -20,8 +22,12 @@
 	decode Decoder
 	// onLosses receives the reported requests that are suspected of crashing the leaves that run them.
 	onLosses func(losses []*peerv1.Loss, now time.Time)
+	// onRollouts is told of the rollouts in force after each change, once the view has them.
+	onRollouts func(rollouts map[string]*statev1.Rollout, now time.Time)
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// table is that of the view. It is nil before the first configuration.
+	table      *router.Table
 	roster     *enroller.Roster
 	departures *enroller.Departures
 	// index is the highest log index seen in a message.
@@ -38,12 +44,18 @@
 	return func(f *Follower) { f.onLosses = onLosses }
 }
 
+// WithRolloutHandler sets the function that is told of the rollouts in force after each change.
+func WithRolloutHandler(onRollouts func(rollouts map[string]*statev1.Rollout, now time.Time)) Option {
+	return func(f *Follower) { f.onRollouts = onRollouts }
+}
+
 // New returns a follower with an empty view.
 func New(decode Decoder, now time.Time, options ...Option) *Follower {
 	f := &Follower{
-		decode: decode, roster: enroller.New(), departures: enroller.NewDepartures(),
-		onLosses: func([]*peerv1.Loss, time.Time) {},
+		decode: decode, departures: enroller.NewDepartures(),
+		onLosses: func([]*peerv1.Loss, time.Time) {}, onRollouts: func(map[string]*statev1.Rollout, time.Time) {},
 	}
+	f.roster = enroller.New(enroller.WithServices(func(service string) bool { return f.table == nil || f.table.Names(service) }))
 	for _, o := range options {
 		o(f)
 	}
@@ -62,7 +74,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := *f.view.Load()
-	changed := f.applyLeaves(m.GetLeaves(), now)
+	changed := false
 	if m.GetIndex() >= f.index {
 		f.index = m.GetIndex()
 		next.Index = m.GetIndex()
@@ -72,7 +84,10 @@
 	}
 	if d := m.GetDocument(); d.GetVersion() > next.Version() {
 		f.applyDocument(&next, d.GetBody(), now)
+		f.table = next.Table
+		changed = f.roster.Settle() || changed
 	}
+	changed = f.applyLeaves(m.GetLeaves(), now) || changed
 	if m.GetEntries() > 0 {
 		next.Entries = int(m.GetEntries())
 	}
@@ -83,10 +98,37 @@
 	if m.GetSettled() {
 		next.LastLeaderContact = now
 	}
-	if changed {
-		next.Holders = holders(f.roster.Since(0, false).Leaves, next.Evacuated)
+	rolled := applyRollouts(&next, m.GetRollouts().GetRollouts(), now)
+	if changed || rolled {
+		next.Holders, next.Trials = holders(f.roster.Since(0, false).Leaves, next.Evacuated, next.Rollouts)
 	}
 	f.view.Store(&next)
+	if rolled {
+		f.onRollouts(next.Rollouts, now)
+	}
+}
+
+// applyRollouts adds the rollouts that are newer than the known ones, and reports whether there were any.
+func applyRollouts(next *View, rollouts []*statev1.Rollout, now time.Time) bool {
+	changed := false
+	for _, r := range rollouts {
+		old := next.Rollouts[r.GetService()]
+		if old != nil && old.GetRevision() >= r.GetRevision() {
+			continue
+		}
+		if !changed {
+			changed, next.Rollouts = true, maps.Clone(next.Rollouts)
+			if next.Rollouts == nil {
+				next.Rollouts = make(map[string]*statev1.Rollout, len(rollouts))
+			}
+		}
+		next.Rollouts[r.GetService()] = r
+		if r.GetOrder() > 0 {
+			eventer.RolloutInUse.Log(now, "service", r.GetService(), "target", r.GetTarget(), "state", r.GetState().String(),
+				"share", r.GetShare(), "revision", r.GetRevision())
+		}
+	}
+	return changed
 }
 
 // SetIsolated records whether the connected control host is isolated from all others.
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -51,6 +51,7 @@
 	// whenever a control host is followed, be it the same one.
 	followed   string
 	refollowed chan struct{}
+	counts     *linker.Counts
 }
 
 type control struct {
@@ -60,7 +61,10 @@
 // NewClient returns a client that passes the messages of control hosts to a follower. address is where this host gathers
 // portions of other hosts' queries, empty if it does not; seeds returns addresses of control hosts.
 func NewClient(f *Follower, host, center, address string, seeds func() []string, clock func() time.Time) *Client {
-	return &Client{follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock, home: newHomeBackoff(host), refollowed: make(chan struct{})}
+	return &Client{
+		follower: f, host: host, center: center, address: address, seeds: seeds, clock: clock, home: newHomeBackoff(host),
+		refollowed: make(chan struct{}), counts: &linker.Counts{},
+	}
 }
 
 // Run follows control hosts until ctx ends.
@@ -237,19 +241,37 @@
 	return c.followed, c.refollowed
 }
 
+// Control returns the address of the control host followed last, empty before the first.
+func (c *Client) Control() string {
+	address, _ := c.Followed()
+	return address
+}
+
 var errNeverFollowed = errors.New("no control host has been followed yet")
 
 // Report reports a request that is suspected of crashing the leaves that run it to the followed control host.
 func (c *Client) Report(ctx context.Context, loss *peerv1.Loss) error {
-	c.mu.Lock()
-	address := c.followed
-	c.mu.Unlock()
+	address := c.Control()
 	if address == "" {
 		return errNeverFollowed
 	}
 	return linker.Report(ctx, address, loss)
 }
 
+// ReportCounts sends counts of calls to services with a running rollout to the followed control host.
+func (c *Client) ReportCounts(ctx context.Context, counts []*peerv1.ServiceCounts) error {
+	address := c.Control()
+	if address == "" {
+		return errNeverFollowed
+	}
+	return c.counts.Send(ctx, address, counts)
+}
+
+// CloseCounts closes the connection over which counts are sent.
+func (c *Client) CloseCounts() {
+	c.counts.Close()
+}
+
 // shouldReturn reports whether to leave a control host of another data centre and try one in the own data centre.
 func (c *Client) shouldReturn(address string, since, now time.Time) bool {
 	c.mu.Lock()
--- a/fleetd/keeper/confirm.go
+++ b/fleetd/keeper/confirm.go
@@ -11,9 +11,6 @@
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
-// Option configures a Keeper.
-type Option func(*Keeper)
-
 // WithReadSpacing sets the minimum time between the beginnings of two reads that confirm the state of followers, 0 for none.
 // Each read costs the leader a round of messages to all control hosts.
 func WithReadSpacing(spacing time.Duration) Option {
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -12,6 +12,7 @@
 	"lycheelift.example/lib/enroller"
 	"lycheelift.example/lib/eventer"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // batchDelay is how long changes are collected before they are sent in one message.
@@ -27,6 +28,7 @@
 // Service is the gRPC service for the hosts that follow a keeper.
 type Service struct {
 	peerv1.UnimplementedFollowServiceServer
+	peerv1.UnimplementedTrialServiceServer
 
 	keeper *Keeper
 	// stopping ends all streams when closed, so that followers switch to another control host immediately.
@@ -51,10 +53,14 @@
 	controls int
 	hosts    []*peerv1.EntryHost
 	centers  []string
+	// listed is the index with which the evacuated data centres were last sent.
+	listed   uint64
 	departed map[string]uint64
 	// losses is the revision of the loss ledger up to which losses have been sent.
 	losses uint64
 	sent   time.Time
+	// rollouts are the rollouts sent last.
+	rollouts []*statev1.Rollout
 }
 
 // Follow sends the current state of this host and then every change.
@@ -130,6 +136,9 @@
 	if !changed {
 		return nil
 	}
+	if m.GetEvacuated() != nil {
+		f.centers, f.listed = view.Evacuated, view.Index
+	}
 	f.started, f.settled, f.isolated, f.revision, f.entries, f.sent = true, m.GetSettled(), m.GetAlone(), batch.Revision, m.GetEntries(), now
 	f.losses = revision
 	return m
@@ -161,9 +170,15 @@
 		f.version = view.Document.GetVersion()
 		changed = true
 	}
-	if !f.started || !slices.Equal(f.centers, view.Evacuated) {
+	// A follower ignores a list with a lower index than it has seen, so the list is sent again with each higher one. That alone
+	// does not cause a message.
+	if same := f.started && slices.Equal(f.centers, view.Evacuated); !same || view.Index > f.listed {
 		m.Evacuated = &peerv1.Evacuated{Centers: view.Evacuated}
-		f.centers = view.Evacuated
+		changed = changed || !same
+	}
+	if len(view.Rollouts) > 0 && !slices.Equal(f.rollouts, view.Rollouts) {
+		m.Rollouts = &peerv1.Rollouts{Rollouts: changedRollouts(f.rollouts, view.Rollouts)}
+		f.rollouts = view.Rollouts
 		changed = true
 	}
 	for leaf, born := range view.Departures {
@@ -175,3 +190,12 @@
 	f.departed = view.Departures
 	return changed
 }
+
+// changedRollouts returns the rollouts that have not been sent.
+func changedRollouts(sent, all []*statev1.Rollout) []*statev1.Rollout {
+	known := make(map[*statev1.Rollout]bool, len(sent))
+	for _, r := range sent {
+		known[r] = true
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(r *statev1.Rollout) bool { return known[r] })
+}
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -9,6 +9,7 @@
 	tally "github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 
+	"lycheelift.example/fleetd/acquirer"
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/fleetd/confirmer"
 	"lycheelift.example/fleetd/exchanger"
@@ -18,9 +19,11 @@
 	"lycheelift.example/fleetd/linker"
 	"lycheelift.example/fleetd/receiver"
 	"lycheelift.example/fleetd/suspector"
+	"lycheelift.example/fleetd/tallier"
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
+	"lycheelift.example/lib/roller"
 	"lycheelift.example/lib/router"
 	"lycheelift.example/platform"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
@@ -40,11 +43,16 @@
 	defer func() { _ = metrics.Close() }()
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
-	suspects := suspector.New()
-	viewFollower := follower.New(platform.DecodeDocument, clock(), follower.WithLossHandler(suspects.Merge))
-	client := follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
+	var client *follower.Client
+	suspects := suspector.New(suspector.WithArbiter(func(ctx context.Context, m *peerv1.TryRequest) (*peerv1.TryResponse, error) {
+		return client.Arbitrate(ctx, m)
+	}))
+	tally := roller.NewTally(s.peers.String(), uint64(clock().UnixNano()))
+	viewFollower := follower.New(platform.DecodeDocument, clock(), follower.WithLossHandler(suspects.Merge), follower.WithRolloutHandler(tally.Update))
+	client = follower.NewClient(viewFollower, s.Name, s.Center, s.peers.String(), s.controls, clock)
 	go client.Run(running)
 	go suspects.Run(running, client.Report, clock)
+	go tallier.Run(running, tally, func(now time.Time) bool { return viewFollower.View().Fresh(now) }, client, clock)
 	limits := func() router.Limits {
 		if t := viewFollower.View().Table; t != nil {
 			return t.Document().Limits
@@ -53,12 +61,17 @@
 	}
 	requestReceiver := receiver.New(func() time.Duration { return limits().IdleTimeout }, s.grace, clock)
 	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
+	quotas := acquirer.New(client.Control, newBootClock(), acquirer.WithScope(metrics.Scope))
+	if s.quotaWindow > 0 {
+		go quotas.Run(running) // Otherwise tokens are only obtained when they are needed.
+	}
 	helperClient := helper.NewClient(clock)
 	confirmed, serves := confirmations(running, s, viewFollower, client, metrics.Scope, clock)
 	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
 	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStopSchedule(requestReceiver.Schedule),
-		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient), answerer.WithConfirmation(confirmed))
+		answerer.WithTally(tally), answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient), answerer.WithConfirmation(confirmed),
+		answerer.WithQuotas(quotas), answerer.WithPreview(answerer.Preview{Quota: answerer.PreviewQuota(quotas)}))
 	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
 		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
 	ready := func() bool {
--- a/fleetd/server/server.go
+++ b/fleetd/server/server.go
@@ -17,6 +17,8 @@
 	"lycheelift.example/fleetd/exchanger"
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
+	"lycheelift.example/lib/quoter"
+	"lycheelift.example/lib/roller"
 	settings "lycheelift.example/schema/gen/settings/fleetd"
 )
 
@@ -33,6 +35,10 @@
 	window time.Duration
 	// revoke is the time after which removed keys must open nothing on any host, 0 if that is not required.
 	revoke time.Duration
+	// exposure bounds what a bad version may get during a rollout.
+	exposure roller.Bounds
+	// quotaWindow is the window over which the quotas of tenants are counted, 0 if the deployment does not bound them.
+	quotaWindow time.Duration
 	// tolerance is the number of control hosts that may fail at the same time.
 	tolerance int
 }
@@ -87,6 +93,10 @@
 			fail("bounds.revoke", fmt.Errorf("%s is shorter than %s", revoke, minRevoke))
 		}
 	}
+	s.exposure, err = exposure(&in.Bounds)
+	fail("bounds.rollback", err)
+	s.quotaWindow, err = time.ParseDuration(in.Bounds.Quotawindow)
+	fail("bounds.quotawindow", err)
 	s.tolerance = int(math.Ceil(in.Tolerance))
 	if len(faults) > 0 {
 		return nil, errors.Join(append([]error{ErrSettings}, faults...)...)
@@ -94,6 +104,20 @@
 	return s, nil
 }
 
+// exposure returns the bounds of rollouts. Orders are carried out under the defaults where the settings do not bound them.
+func exposure(in *settings.Bounds) (roller.Bounds, error) {
+	out := roller.Bounds{Exposure: in.Exposure, Slack: in.Exposureslack, Rollback: roller.DefaultRollback}
+	if out.Exposure <= 0 {
+		out.Exposure, out.Slack = roller.DefaultExposure, 0
+	}
+	if in.Rollback == "" {
+		return out, nil
+	}
+	var err error
+	out.Rollback, err = time.ParseDuration(in.Rollback)
+	return out, err
+}
+
 const (
 	// quotaDivisor divides the host's memory to get the bytes that large answers may have. Growing buffers and garbage need
 	// several times as much.
@@ -109,6 +133,11 @@
 	return int64(s.Memory * mebibyte / quotaDivisor)
 }
 
+// quotaBounds returns the bounds of the quotas of tenants.
+func (s *Settings) quotaBounds() quoter.Bounds {
+	return quoter.NewBounds(s.quotaWindow, s.Bounds.Quotaover, s.Bounds.Quotaslack)
+}
+
 // controls returns the addresses at which the seeds serve other hosts. The internal port is the same on every host.
 func (s *Settings) controls() []string {
 	out := make([]string, 0, len(s.seeds))
--- a/lib/cataloguer/table.go
+++ b/lib/cataloguer/table.go
@@ -43,12 +43,12 @@
 	Address     netip.AddrPort
 	Center      string
 	Service     string
+	// Program is the version of the leaf's program; empty if it does not say.
+	Program     string
 	State       State
 	Slots       int
 	Connections int
 	Holdings    []Holding
-	// Program is the version of the leaf's program, empty if it is not known.
-	Program string
 	// AnnouncedAt is when the last announcement was received.
 	AnnouncedAt time.Time
 	// ColdUntil is when the leaf will be warm by its own announcement; zero if it announces no time.
