explainer: show whether a rollout succeeded or was rolled back

The output called every order that is not running "ended", and named the version in use twice after a success. It shows the state of the order now, and names the columns of the assumed load and the assumed slowness apart.

--- a/fleetd/answerer/explain.go
+++ b/fleetd/answerer/explain.go
@@ -124,9 +124,9 @@
 type RolloutState struct {
 	// Baseline is the version in use, and Target the ordered one.
 	Baseline, Target string
-	// Running is true while the order is in progress, and Share, from 0 to 1, is the share of the requests that it moves.
-	Running bool
-	Share   float64
+	// Progress is the state of the order, and Share, from 0 to 1, is the share of the requests that it moves while it is running.
+	Progress statev1.RolloutState
+	Share    float64
 	// Suspended is true if the host does not use the share, because it has lost contact with the control hosts.
 	Suspended bool
 }
@@ -290,7 +290,7 @@
 
 // explainTrial returns the choice for the requests that a running rollout moves, nil if it moves none or all.
 func (q *query) explainTrial(c selector.Choice, view *follower.View, r *RolloutState, service string, now time.Time) *ShardChoice {
-	if r == nil || !r.Running || r.Suspended || r.Share <= 0 || r.Share >= 1 || len(view.Trials[service]) == 0 {
+	if r == nil || r.Suspended || r.Share <= 0 || r.Share >= 1 || len(view.Trials[service]) == 0 {
 		return nil
 	}
 	c.Holders = view.Candidates(service, 0, now) // 0 is below every share.
@@ -305,8 +305,8 @@
 	if r == nil {
 		return nil
 	}
-	out := &RolloutState{Baseline: r.GetBaseline(), Target: r.GetTarget(), Running: roller.Running(r)}
-	if out.Running {
+	out := &RolloutState{Baseline: r.GetBaseline(), Target: r.GetTarget(), Progress: r.GetState()}
+	if roller.Running(r) {
 		out.Share, out.Suspended = float64(r.GetShare())/roller.FullShare, !view.Fresh(now)
 	}
 	return out
--- a/fleetd/explainer/encode.go
+++ b/fleetd/explainer/encode.go
@@ -12,6 +12,7 @@
 	"lycheelift.example/lib/selector"
 	"lycheelift.example/platform"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // encode converts an explanation to its message. Times become durations relative to the host's time.
@@ -64,6 +65,14 @@
 // minChance is the probability of another choice from which chance is said to decide.
 const minChance = 0.001
 
+var progressNames = map[statev1.RolloutState]string{
+	statev1.RolloutState_ROLLOUT_STATE_RUNNING:    progressRunning,
+	statev1.RolloutState_ROLLOUT_STATE_SUCCEEDED:  "succeeded",
+	statev1.RolloutState_ROLLOUT_STATE_ROLLEDBACK: "rolled back",
+}
+
+const progressRunning = "running"
+
 func encodeShard(s *answerer.ShardChoice, now time.Time) *peerv1.ExplainShard {
 	out := &peerv1.ExplainShard{Service: s.Service, Share: s.Share, Odds: s.Odds, Forced: s.Forced, Omitted: s.Omitted, Group: string(s.Group)}
 	if s.Choice >= 0 {
@@ -77,7 +86,7 @@
 		out.Leaves = append(out.Leaves, encodeLeaf(&s.Candidates[i], now))
 	}
 	if r := s.Rollout; r != nil {
-		out.Rollout = &peerv1.ExplainRollout{Baseline: r.Baseline, Target: r.Target, Running: r.Running, Share: r.Share, Suspended: r.Suspended}
+		out.Rollout = &peerv1.ExplainRollout{Baseline: r.Baseline, Target: r.Target, Progress: progressNames[r.Progress], Share: r.Share, Suspended: r.Suspended}
 	}
 	if s.Trial != nil {
 		out.Trial = encodeShard(s.Trial, now)
--- a/fleetd/explainer/text.go
+++ b/fleetd/explainer/text.go
@@ -197,7 +197,7 @@
 	if len(s.GetLeaves()) == 0 {
 		return
 	}
-	table := newTable(w, "leaf", "address", "centre", "program", "state", "cold for", "calls", "slots", "reported load", "assumed", "reported slowness", "assumed", "latency", "failures", "cost")
+	table := newTable(w, "leaf", "address", "centre", "program", "state", "cold for", "calls", "slots", "reported load", "assumed load", "reported slowness", "assumed slowness", "latency", "failures", "cost")
 	for _, l := range s.GetLeaves() {
 		table.add("  "+l.GetLeaf(), l.GetAddress(), l.GetCenter(), orDash(l.GetProgram()), describeState(l), duration(l.GetCold()), fmt.Sprint(l.GetCalls()), fmt.Sprint(l.GetSlots()),
 			describeLoad(l), number(l.GetAssumed()), describeSlowness(l), optionalNumber(l.Expected), number(l.GetRatio()), number(percent*l.GetFailure())+"%", optionalNumber(l.Cost))
@@ -210,14 +210,15 @@
 // describeRollout describes the newest rollout of a service, the share in force and the group that the other calls are drawn from.
 func describeRollout(s *peerv1.ExplainShard) string {
 	r := s.GetRollout()
-	out := fmt.Sprintf("from %s to %s, ", orDash(r.GetBaseline()), orDash(r.GetTarget()))
-	switch {
-	case !r.GetRunning():
-		out += "ended"
-	case r.GetSuspended():
-		out += "share " + number(percent*r.GetShare()) + "% not used without contact to a leader"
-	default:
-		out += "share " + number(percent*r.GetShare()) + "%"
+	out := fmt.Sprintf("%s in use", orDash(r.GetBaseline()))
+	if r.GetProgress() != "" {
+		out += fmt.Sprintf(", %s ordered, %s", r.GetTarget(), r.GetProgress())
+	}
+	if r.GetProgress() == progressRunning {
+		out += " with a share of " + number(percent*r.GetShare()) + "%"
+	}
+	if r.GetSuspended() {
+		out += ", which is not used without contact to a leader"
 	}
 	return out + "; drawn from the group " + orDash(s.GetGroup())
 }
