--- a/fleetd/acquirer/acquirer.go
+++ b/fleetd/acquirer/acquirer.go
@@ -227,6 +227,38 @@
 	return Permit{Outcome: Unavailable, RetryAfter: electionWait}
 }
 
+// State is what a host knows of a tenant's quota.
+type State struct {
+	// Tokens is the number of valid tokens in stock, and Left the time until the first of them expire, 0 if there are none.
+	Tokens int
+	Left   time.Duration
+	// Silence is the time since the first call that no coordinator has answered, 0 if the latest ones were answered.
+	Silence time.Duration
+	// Unfollowed is true if no control host is followed, so that no coordinator can be asked.
+	Unfollowed bool
+}
+
+// Inspect returns the state of a tenant's quota. It asks no coordinator, counts no request and changes nothing.
+func (a *Acquirer) Inspect(tenant string) State {
+	out := State{Unfollowed: a.control() == ""}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.bootClock()
+	tokens, expires := a.stock.Inspect(tenant, now)
+	if out.Tokens = tokens; tokens > 0 {
+		out.Left = expires.Sub(now)
+	}
+	if !a.silent.IsZero() {
+		out.Silence = now.Sub(a.silent)
+	}
+	return out
+}
+
+// Unavailability returns the permit of a request for which no coordinator can be asked.
+func Unavailability() Permit {
+	return Permit{Outcome: Unavailable, RetryAfter: electionWait}
+}
+
 // Release returns the token of a request that has not run and never will.
 func (a *Acquirer) Release(p Permit) {
 	a.metrics.returned.Inc(1)
--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -117,6 +117,7 @@
 	helper      Helper
 	portionSize int
 	divider     *divider.Table
+	preview     Preview
 	// self is this host's own address among the entry hosts.
 	self string
 	// hosts is the number of entry hosts by which limits are divided.
--- a/fleetd/answerer/environment.go
+++ b/fleetd/answerer/environment.go
@@ -126,13 +126,20 @@
 	if !slices.ContainsFunc(a.viewer.View().Holders[service], func(l *cataloguer.Leaf) bool { return now.Before(l.ColdUntil) }) {
 		return selector.ColdShare{}
 	}
-	hosts, index, settled := a.countHosts(q.view, now)
+	observe := (*selector.HostCount).Observe
+	if q.preview {
+		observe = (*selector.HostCount).Inspect
+	}
+	hosts, index, settled := a.countHosts(q.view, observe, now)
 	return selector.ColdShare{Bound: s.ColdRate*a.bounds.Cold + a.bounds.ColdSlack, Hosts: hosts, Index: index, Unsettled: !settled}
 }
 
+// hostObserver returns the number of hosts by which limits are divided, given the present one.
+type hostObserver func(c *selector.HostCount, hosts int, now time.Time) (count int, settled bool)
+
 // countHosts returns the number of entry hosts and the position of this host among them, -1 if it is not listed. It reports whether
 // the number has been known for long enough. The position is the number of listed hosts whose addresses sort before its own.
-func (a *Answerer) countHosts(view *follower.View, now time.Time) (hosts, index int, settled bool) {
+func (a *Answerer) countHosts(view *follower.View, observe hostObserver, now time.Time) (hosts, index int, settled bool) {
 	listed, self := 0, false
 	for _, addresses := range view.Helpers {
 		listed += len(addresses)
@@ -148,7 +155,7 @@
 	}
 	a.hostsMu.Lock()
 	defer a.hostsMu.Unlock()
-	hosts, settled = a.hosts.Observe(max(view.Entries, listed, 1), now)
+	hosts, settled = observe(&a.hosts, max(view.Entries, listed, 1), now)
 	return hosts, index, settled
 }
 
--- a/lib/quoter/quoter_test.go
+++ b/lib/quoter/quoter_test.go
@@ -302,3 +302,31 @@
 	settlements := s.Next(now).Request.Asks[0].Settlements
 	qt.Assert(t, settlements, qt.DeepEquals, []quoter.Settlement{{Stamp: 2, Unrun: 1}})
 }
+
+// Guards against an inspection that counts tokens that are used up or have expired, or that changes the stock or the demand.
+func TestInspectChangesNothing(t *testing.T) {
+	_, ask := newLeader(quoter.Limit{Rate: 10, Burst: 10})
+	s, now := quoter.NewStock(), begin.Add(20*time.Second)
+	tokens, _ := s.Inspect("x", now)
+	qt.Assert(t, tokens, qt.Equals, 0)
+	qt.Assert(t, s.Next(now), qt.IsNil)
+	_, ok := s.Take("x", now)
+	qt.Assert(t, ok, qt.IsFalse)
+	f := s.Next(now)
+	r, err := ask(f.Request, 20*time.Second, 0)
+	qt.Assert(t, err, qt.IsNil)
+	s.Answer(f, r, now)
+	tokens, expires := s.Inspect("x", now)
+	qt.Assert(t, tokens, qt.Equals, r.Grants[0].Stock)
+	qt.Assert(t, tokens > 0, qt.IsTrue)
+	qt.Assert(t, expires, qt.Equals, now.Add(r.Validity))
+	for range tokens {
+		_, ok = s.Take("x", now)
+		qt.Assert(t, ok, qt.IsTrue)
+		tokens--
+		left, _ := s.Inspect("x", now)
+		qt.Assert(t, left, qt.Equals, tokens)
+	}
+	_, expires = s.Inspect("x", now.Add(r.Validity))
+	qt.Assert(t, expires.IsZero(), qt.IsTrue)
+}
--- a/lib/quoter/stock.go
+++ b/lib/quoter/stock.go
@@ -401,3 +401,22 @@
 	}
 	return held
 }
+
+// Inspect returns the number of tokens of a tenant that are in stock and valid, and when the first of them expire; the zero time
+// if there are none. It changes nothing.
+func (s *Stock) Inspect(tenant string, now time.Time) (tokens int, expires time.Time) {
+	h, ok := s.tenants[tenant]
+	if !ok {
+		return 0, time.Time{}
+	}
+	for _, l := range h.lots {
+		if l.left == 0 || !l.valid(now) {
+			continue
+		}
+		tokens += l.left
+		if expires.IsZero() || l.expires.Before(expires) {
+			expires = l.expires
+		}
+	}
+	return tokens, expires
+}
--- a/lib/selector/cold.go
+++ b/lib/selector/cold.go
@@ -118,3 +118,9 @@
 	h.current = max(h.current, hosts)
 	return max(h.current, h.previous), now.Sub(h.first) >= settleTime
 }
+
+// Inspect returns what Observe would return, and changes nothing.
+func (h *HostCount) Inspect(hosts int, now time.Time) (count int, settled bool) {
+	seen := *h
+	return seen.Observe(hosts, now)
+}
--- a/lib/selector/selector.go
+++ b/lib/selector/selector.go
@@ -78,7 +78,7 @@
 func (t *Table) Decide(c Choice, now time.Time) (Decision, bool) {
 	var out Decision
 	least, local := 0.0, false
-	forecast := t.reportSlowness(c.Holders, now)
+	forecast := t.reportSlowness(c.Holders)
 	for _, l := range c.Holders {
 		if slices.Contains(c.Tried, l.Name) {
 			continue
@@ -97,9 +97,9 @@
 }
 
 // reportSlowness reports whether any of the leaves has reported the slowness of its host in its latest report.
-func (t *Table) reportSlowness(leaves []*cataloguer.Leaf, now time.Time) bool {
+func (t *Table) reportSlowness(leaves []*cataloguer.Leaf) bool {
 	return t.ReportsSlowness() && slices.ContainsFunc(leaves, func(l *cataloguer.Leaf) bool {
-		r, unlock := t.stats(l.Name, l.Incarnation, now)
+		r, _, unlock := t.lookup(l.Name, l.Incarnation)
 		defer unlock()
 		return r.slowness > 0
 	})
@@ -126,9 +126,14 @@
 // estimate estimates a call to a leaf. It reports false when the leaf must not be called now. Forecast is true if any
 // candidate reports slowness.
 func (t *Table) estimate(c *Choice, l *cataloguer.Leaf, forecast bool, now time.Time) (estimate, bool) {
-	var out estimate
 	r, unlock := t.stats(l.Name, l.Incarnation, now)
 	defer unlock()
+	return r.estimate(c, l, forecast, t.usualSlowness(), now)
+}
+
+// estimate estimates a call to the leaf of the statistics. Usual is the mean slowness that leaves report. It changes nothing.
+func (r *leafStats) estimate(c *Choice, l *cataloguer.Leaf, forecast bool, usual float64, now time.Time) (estimate, bool) {
+	var out estimate
 	if r.isBarred(now) {
 		return out, false
 	}
@@ -136,7 +141,7 @@
 	if !c.permitsCold(r, l, now) {
 		return out, false
 	}
-	backingOff := now.Before(r.retryAt) || r.failedConnects > 0 && len(r.open) > 0
+	backingOff := r.backingOff(now)
 	if backingOff && (!c.Force || r.failedConnects >= maxFailedConnects) {
 		return out, false
 	}
@@ -145,7 +150,7 @@
 	wait := max(0, queue+1-slots) / slots
 	ratio := r.expectedRatio(now)
 	if forecast {
-		out.slowness, out.chance = r.expectedSlowness(t.usualSlowness(), now), r.chance(queue, slots, len(c.Holders), now)
+		out.slowness, out.chance = r.expectedSlowness(usual, now), r.chance(queue, slots, len(c.Holders), now)
 		ratio *= out.slowness
 	}
 	out.work = ratio*(1+wait) + busyCost*queue/slots
@@ -162,3 +167,8 @@
 	}
 	return out, true
 }
+
+// backingOff reports whether the leaf could not be reached recently and is not due for another attempt.
+func (r *leafStats) backingOff(now time.Time) bool {
+	return now.Before(r.retryAt) || r.failedConnects > 0 && len(r.open) > 0
+}
