fleetd: admission control before any leaf call

Cause: an entry host sent every request to leaves, however many were ahead of it, so that requests that could not be answered in time delayed the others.

--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -98,7 +98,9 @@
 	// confirmed reports whether the view that is taken next may be relied on for keys.
 	confirmed    func() bool
 	unauthorized unauthorizedCounts
-	cutOff       atomic.Bool
+	// admission is nil without admission control.
+	admission *admission
+	cutOff    atomic.Bool
 	// helper has portions of at most portionSize shards gathered by the hosts that divider chooses. It is nil if queries
 	// are not divided.
 	helper      Helper
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -66,6 +66,7 @@
 	running := &leafCall{cancel: cancel, planned: c, ticket: a.selector.Begin(c.Target.Leaf, &choice, c.Sent)}
 	q.running[c.Attempt] = running
 	q.sent = append(q.sent, running)
+	q.markSent()
 	running.outgoing = &carrier.Call{
 		Request: q.request, Leaf: c.Target.Leaf.Name, Address: c.Target.Leaf.Address, Deadline: c.Sent.Add(c.Timeout),
 		MaxBody: q.bodyLimit(), NewConnection: !q.route.Idempotent, IdleTimeout: idleTime, MaxConnections: localFactor * q.connectionShare(c.Target.Leaf.Service),
@@ -163,6 +164,7 @@
 	if class.reason == reasonNone {
 		q.answers[c.Attempt] = r.answer
 		q.answerer.estimate.Observe(q.route.Name, now.Sub(c.Sent))
+		q.answerer.observeService(c.Target.Leaf.Service, now.Sub(c.Sent), r.answer.Load)
 		return planner.Event{Kind: planner.Returned, Result: result}
 	}
 	q.answerer.metrics.fail(class.reason)
--- a/fleetd/answerer/metrics.go
+++ b/fleetd/answerer/metrics.go
@@ -61,6 +61,11 @@
 	m.scope.Tagged(map[string]string{"route": route}).Counter("unauthorized_requests").Inc(1)
 }
 
+// rejected counts a request that was not admitted.
+func (m *metrics) rejected(limit, tenant, priority, route string) {
+	m.scope.Tagged(map[string]string{"limit": limit, "tenant": tenant, "priority": priority, "route": route}).Counter("rejected_requests").Inc(1)
+}
+
 func (m *metrics) call(kind planner.CallKind) {
 	m.calls[kind].Inc(1)
 }
--- a/fleetd/answerer/portion.go
+++ b/fleetd/answerer/portion.go
@@ -68,6 +68,8 @@
 		return
 	}
 	q.adoptTenant(p)
+	q.enterPortion(now)
+	defer q.leave()
 	for _, name := range q.shards {
 		a.budget.Request(name, now)
 	}
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lycheelift.example/fleetd/follower"
+	"lycheelift.example/lib/admitter"
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/planner"
@@ -65,6 +66,10 @@
 	// unreachable is true when the request failed because too few leaves could be reached.
 	unreachable bool
 
+	// ticket is the admission of the request, nil without admission control. ticketSent is true once the calls are open.
+	ticket     *admitter.Ticket
+	ticketSent bool
+
 	calls, hedges, retries int
 	// lostConnections is the number of calls whose connections were lost after the request was sent. answered is true
 	// once a leaf has answered.
@@ -149,8 +154,13 @@
 	if wait := q.answerer.suspects.Blocked(q.request, now); wait > 0 {
 		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "requests like this one have ended the leaves that ran them"}
 	}
+	if reply := q.enter(ctx); reply != nil {
+		return reply
+	}
+	defer q.leave()
 	defer q.reportSuspect()
 	if q.answerer.shouldDivide(q.view, q.shards) {
+		q.markSent()
 		return q.gatherDivided(ctx)
 	}
 	for _, name := range q.shards {
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -57,7 +57,9 @@
 	queryAnswerer := answerer.New(s.Name, s.Center, viewFollower, exchange, answerer.Bounds{
 		Ratio: s.Bounds.Ratio, Slack: s.Bounds.Slack, Window: s.window, Cold: s.Bounds.Cold, ColdSlack: s.Bounds.Coldslack,
 	}, clock, answerer.WithScope(metrics.Scope), answerer.WithSuspects(suspects), answerer.WithStopSchedule(requestReceiver.Schedule),
-		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient), answerer.WithConfirmation(confirmed))
+		answerer.WithHelpers(s.peers.String(), s.Portion, s.Gatherers, helperClient), answerer.WithConfirmation(confirmed),
+		answerer.WithAdmission(s.Shed))
+	go queryAnswerer.WatchProcessor(running)
 	go sweep(running, clock, func() bool { return viewFollower.View().Table != nil },
 		exchange.Sweep, queryAnswerer.Sweep, func(now time.Time) { helperClient.CloseUnlisted(viewFollower.View().EntryHosts(), now) })
 	ready := func() bool {
--- a/lib/admitter/admitter.go
+++ b/lib/admitter/admitter.go
@@ -24,9 +24,12 @@
 	// uncertain, and the answer must be transferred. It is multiplied by trustLoss for each answer that is too late, and
 	// trustGain is added for each other one, so that about 5% are too late in a lasting overload. minTrust is its lower limit.
 	deadlineMargin = 0.9
-	trustLoss      = 0.97
-	trustGain      = 0.0015
+	trustLoss      = 0.95
+	trustGain      = 0.0025
 	minTrust       = 0.3
+	// maxBias limits the factor by which expected times are corrected. A wide query takes as long as its slowest leaves, which
+	// the mean of a service does not show.
+	maxBias = 3
 	// kindWindow is how long a kind of request counts at a bottleneck after the last of them was seen there.
 	kindWindow = 2 * time.Second
 	// minRetry and maxRetry bound the time after which a rejected caller is told to return.
@@ -95,6 +98,8 @@
 	// Services are called once each; Needed is the number of them that an answer requires.
 	Services []string
 	Needed   int
+	// Remote means that other hosts call the leaves, so that this host's connections do not limit the request.
+	Remote bool
 	// Arrived is when the request arrived, Target when its answer loses value (zero if there is no target), and Deadline
 	// when its caller stops waiting.
 	Arrived, Target, Deadline time.Time
@@ -136,6 +141,8 @@
 	request  *Request
 	sequence uint64
 	admitted time.Time
+	// expected is the time until the answer that was expected at admission without the bias, 0 if nothing was in the way.
+	expected time.Duration
 	unsent   bool
 	portion  bool
 }
@@ -154,11 +161,13 @@
 	// trust is the part of the time until the deadline that expected answers of a kind may use, learned from those that
 	// came too late.
 	trust map[kind]float64
+	// bias is the smoothed ratio of the actual time until the answer to the expected one.
+	bias map[kind]float64
 }
 
 // New returns an Admitter without requests in progress.
 func New() *Admitter {
-	return &Admitter{unsent: make(map[string]int), services: make(map[string]*service), shares: newShares(), trust: make(map[kind]float64)}
+	return &Admitter{unsent: make(map[string]int), services: make(map[string]*service), shares: newShares(), trust: make(map[kind]float64), bias: make(map[kind]float64)}
 }
 
 // Offer decides on a request that has arrived. Random is a random number in the range [0, 1). A waiting request must be
@@ -297,15 +306,20 @@
 	a.Sent(t)
 	a.host.ended(now.Sub(t.admitted))
 	if !t.portion {
-		a.learn(t.request, now)
+		a.learn(t, now)
 	}
 	t.admitted = time.Time{}
 	a.running--
 }
 
 // learn adapts the trust in expected times to an answer or the lack of one.
-func (a *Admitter) learn(r *Request, now time.Time) {
-	key := kind{route: r.Route, priority: r.Priority}
+func (a *Admitter) learn(t *Ticket, now time.Time) {
+	r, key := t.request, t.request.kind()
+	if t.expected > 0 {
+		bias := a.biasOf(key)
+		bias += smoothing * (float64(now.Sub(t.admitted))/float64(t.expected) - bias)
+		a.bias[key] = min(max(bias, 1), maxBias)
+	}
 	trust := a.trusted(key)
 	if now.Before(r.Deadline) {
 		trust = min(deadlineMargin, trust+trustGain)
@@ -315,6 +329,10 @@
 	a.trust[key] = trust
 }
 
+func (a *Admitter) biasOf(key kind) float64 {
+	return max(a.bias[key], 1)
+}
+
 func (a *Admitter) trusted(key kind) float64 {
 	if trust, ok := a.trust[key]; ok {
 		return trust
@@ -342,12 +360,13 @@
 	until := r.Arrived.Add(r.patience())
 	favoured := a.shares.starved(r, now)
 	greedy := !favoured && a.shares.greedy(r, now)
-	d := a.worst(r, pools, taken, favoured, greedy, now)
+	d, expected := a.worst(r, pools, taken, favoured, greedy, now)
 	d.InProgress = a.running
 	d.Until = until
 	excess := d.Expected - d.Allowed
 	switch {
 	case excess <= 0:
+		t.expected = time.Duration(float64(expected) / a.biasOf(r.kind()))
 		return Decision{Verdict: Admitted, InProgress: a.running}
 	case !now.Before(until) || now.Add(excess).After(until):
 		d.Verdict = Rejected
@@ -367,25 +386,27 @@
 	return min(end.Sub(r.Arrived)/waitDivisor, maxWait)
 }
 
-// worst returns the figures of the bottleneck at which a request exceeds its allowance most.
-func (a *Admitter) worst(r *Request, pools Pools, taken map[string]int, favoured, greedy bool, now time.Time) Decision {
+// worst returns the figures of the bottleneck at which a request exceeds its allowance most, and the expected time until
+// the answer of the leaves.
+func (a *Admitter) worst(r *Request, pools Pools, taken map[string]int, favoured, greedy bool, now time.Time) (Decision, time.Duration) {
 	out := a.hostDecision(r, taken[""], favoured, greedy, now)
 	needed := r.Needed
 	if needed <= 0 || needed > len(r.Services) {
 		needed = len(r.Services)
 	}
 	if needed == 0 {
-		return out
+		return out, 0
 	}
 	each := make([]Decision, 0, len(r.Services))
 	for _, name := range r.Services {
 		each = append(each, a.serviceDecision(r, name, pools(name), taken[name], favoured, greedy, now))
 	}
 	slices.SortFunc(each, func(x, y Decision) int { return cmp.Compare(x.Expected-x.Allowed, y.Expected-y.Allowed) })
-	if last := each[needed-1]; last.Expected-last.Allowed > out.Expected-out.Allowed {
-		return last
+	last := each[needed-1]
+	if last.Expected-last.Allowed > out.Expected-out.Allowed {
+		return last, last.Expected
 	}
-	return out
+	return out, last.Expected
 }
 
 // rank is the order of waiting requests: what is starved, priority, fair share, what is due first, arrival.
--- a/lib/admitter/limits.go
+++ b/lib/admitter/limits.go
@@ -32,6 +32,8 @@
 	priority int
 }
 
+func (r *Request) kind() kind { return kind{route: r.Route, priority: r.Priority} }
+
 // sighting is when a request of a kind was last seen, how long such a request may take to be in time, and how long its
 // caller waits.
 type sighting struct {
@@ -80,7 +82,7 @@
 	if s.seen == nil {
 		s.seen = make(map[kind]sighting)
 	}
-	key := kind{route: r.Route, priority: r.Priority}
+	key := r.kind()
 	next := sighting{at: now, deadline: r.Deadline.Sub(r.Arrived)}
 	if !r.Target.IsZero() {
 		next.target = r.Target.Sub(r.Arrived)
@@ -99,7 +101,7 @@
 // standing records the expected time until the answer of a request and reports whether requests of its kind have been
 // late for standingTime. The queue is then longer than a burst explains: it makes all answers late without more of them.
 func (s *service) standing(r *Request, expected time.Duration, now time.Time) bool {
-	key := kind{route: r.Route, priority: r.Priority}
+	key := r.kind()
 	v, ok := s.seen[key]
 	if !ok || v.target <= 0 {
 		return false
@@ -147,7 +149,7 @@
 		return out
 	}
 	unseen := a.unsent[name] + taken // Calls that are not among those of the pool yet.
-	if own := p.Own + unseen + 1; p.Connections > 0 && own > p.Connections {
+	if own := p.Own + unseen + 1; !r.Remote && p.Connections > 0 && own > p.Connections {
 		// Calls cannot queue for a connection, so the request waits on this host until there is one.
 		out.Limit, out.Allowed = Connections, 0
 		out.Expected = time.Duration(float64(mean) * float64(own-p.Connections) / float64(p.Connections))
@@ -158,7 +160,7 @@
 		s.standing(r, 0, now)
 		return out // There is a free slot: the service time alone is no reason to reject.
 	}
-	out.Expected = mean + time.Duration(float64(mean)*(short+p.Queued)/float64(p.Slots))
+	out.Expected = time.Duration(float64(mean) * (1 + (short+p.Queued)/float64(p.Slots)) * a.biasOf(r.kind()))
 	standing := s.standing(r, out.Expected, now)
 	if shortest := s.shortestDeadline(now); shortest > 0 {
 		out.Allowed = min(out.Allowed, a.allowance(r, shortest, now))
@@ -180,7 +182,7 @@
 
 // allowance returns the part of the time until a deadline that an expected answer may use.
 func (a *Admitter) allowance(r *Request, left time.Duration, now time.Time) time.Duration {
-	trusted := time.Duration(a.trusted(kind{route: r.Route, priority: r.Priority}) * float64(left))
+	trusted := time.Duration(a.trusted(r.kind()) * float64(left))
 	if r.Target.IsZero() {
 		return trusted
 	}
--- a/lib/admitter/sim_test.go
+++ b/lib/admitter/sim_test.go
@@ -103,6 +103,7 @@
 
 const (
 	simStep     = time.Millisecond
+	stepMillis  = 5 // Interval of Step in milliseconds.
 	simLeaves   = 3
 	simSlots    = 4
 	reportFresh = 250 * time.Millisecond
@@ -267,7 +268,10 @@
 		}
 		return j.missing <= 0 || s.now.After(j.request.Deadline)
 	})
-	h.admitter.Step(s.pool(h), s.random.Float64(), s.now)
+	due := slices.ContainsFunc(h.waiting, func(j *job) bool { return !s.now.Before(j.ticket.Decision.Until) })
+	if due || s.now.UnixMilli()%stepMillis == 0 {
+		h.admitter.Step(s.pool(h), s.random.Float64(), s.now)
+	}
 	h.waiting = slices.DeleteFunc(h.waiting, func(j *job) bool {
 		if j.ticket.Decision.Verdict == admitter.Waiting {
 			return false
--- a/schema/gen/settings/fleetd/fleetd.go
+++ b/schema/gen/settings/fleetd/fleetd.go
@@ -282,6 +282,11 @@
 	// Addresses at which some control hosts serve backend servers and operators.
 	Seeds []string `json:"seeds"`
 
+	// An entry host rejects requests that it expects not to serve in time, before any
+	// backend server gets them. It always does so while the configuration has
+	// tenants.
+	Shed bool `json:"shed,omitempty,omitzero"`
+
 	// Size of the disk below the data folder, in MiB; 0 when there is none.
 	Space float64 `json:"space,omitempty,omitzero"`
 
@@ -394,6 +399,9 @@
 	if len(plain.Seeds) > 16 {
 		return fmt.Errorf("field %s length: must be <= %d", "seeds", 16)
 	}
+	if v, ok := raw["shed"]; !ok || v == nil {
+		plain.Shed = false
+	}
 	if v, ok := raw["space"]; !ok || v == nil {
 		plain.Space = 0.0
 	}
