lib/admitter, fleetd/answerer: tests of slow leaves, stops and fading reports

Cause: the slow loads were not half of the leaves, and a stop while a request waits and the fading of reports had no test. Change: tests only.

--- a/fleetd/answerer/admission_test.go
+++ b/fleetd/answerer/admission_test.go
@@ -14,6 +14,7 @@
 
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/router"
 )
 
@@ -102,7 +103,7 @@
 }
 
 // Guards against requests that fail for lack of connections although they could wait for one, and against a place that is
-// kept for a caller who has left.
+// kept for a caller who has left. A request that waits while the host stops has not run.
 func TestRequestsWaitForAConnection(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f := newFleet(1)
@@ -117,8 +118,8 @@
 		outcomes := make(map[carrier.Outcome]int)
 		var mu sync.Mutex
 		before := f.called()
-		for i := range connections + 2 {
-			ctx, cancel := context.WithCancel(context.Background())
+		for i := range connections + 3 {
+			ctx, cancel := context.WithCancelCause(context.Background())
 			go func() {
 				reply := a.Answer(ctx, &carrier.Request{
 					ID: fmt.Sprint("r", i), Method: "GET", Host: "n", Path: "/one/2f", Target: "/one/2f", Received: time.Now(), Timeout: 6 * time.Second,
@@ -128,16 +129,18 @@
 				outcomes[reply.Outcome]++
 			}()
 			synctest.Wait()
-			if i == connections {
-				qt.Assert(t, f.called()-before, qt.Equals, connections)
-				cancel()
-				synctest.Wait()
+			switch i {
+			case connections:
+				cancel(nil)
+			case connections + 1:
+				cancel(drainer.ErrStopping)
 			}
-			defer cancel()
+			synctest.Wait()
+			defer cancel(nil)
 		}
 		qt.Assert(t, f.called()-before, qt.Equals, connections)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		qt.Assert(t, outcomes, qt.DeepEquals, map[carrier.Outcome]int{carrier.Answered: connections + 1, carrier.Abandoned: 1})
+		qt.Assert(t, outcomes, qt.DeepEquals, map[carrier.Outcome]int{carrier.Answered: connections + 1, carrier.Abandoned: 1, carrier.Refused: 1})
 	})
 }
--- a/lib/admitter/admitter_test.go
+++ b/lib/admitter/admitter_test.go
@@ -56,8 +56,8 @@
 	return k
 }
 
-// loads are the loads above saturation. Each is also run with half of the leaves 2.5 times slower and with the loss of a
-// quarter of the hosts.
+// loads are the loads above saturation. Each is also run with half of the leaves 2.5 times slower, with the loss of a
+// quarter of the hosts, and with both.
 func loads() map[string][]traffic {
 	tenants := func(rates ...float64) []traffic {
 		var out []traffic
@@ -89,9 +89,12 @@
 					s := newSimulation(1, 8, 8, kinds...)
 					s.loseAt = lose
 					if slow {
-						for _, leaves := range s.leaves {
+						for i := range 8 {
+							leaves := s.leaves[serviceName(i)]
 							leaves[0].slow = 2.5
-							leaves[1].slow = 1.75 // Half of the leaves on average.
+							if i%2 == 0 {
+								leaves[1].slow = 2.5
+							}
 						}
 					}
 					s.run(10 * time.Second)
@@ -186,8 +189,8 @@
 		now = now.Add(25 * time.Millisecond)
 		a.End(ticket, now)
 	}
-	for range 20 {
-		running = append(running, a.Offer(request(now), none, 0, now))
+	for range 10 {
+		running = append(running, a.Offer(request(now), none, 0, now), a.Begin(request(now), now)) // Portions are load too.
 	}
 	a.Tick(10*time.Second, now)
 	for i := range 40 {
