lib/admitter: thin out requests where reports of leaves are rare

Change: two reports in turn of queues that are too long reduce the admitted part of the requests concerned for some seconds. Below saturation nothing is rejected or delayed with 1 to 133 hosts, also with leaves that pause. Tests of lib/admitter, lib/selector and fleetd/answerer pass.

--- a/fleetd/answerer/admission.go
+++ b/fleetd/answerer/admission.go
@@ -12,6 +12,7 @@
 	"lycheelift.example/fleetd/follower"
 	"lycheelift.example/lib/admitter"
 	"lycheelift.example/lib/carrier"
+	"lycheelift.example/lib/cataloguer"
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/eventer"
 )
@@ -211,14 +212,14 @@
 		limited = s.Connections > 0
 	}
 	for _, l := range view.Holders[service] {
-		own, others, callable := a.selector.Occupancy(l, now)
+		own, others, stale, callable := a.selector.Occupancy(l, now)
 		if !callable {
 			continue
 		}
 		if l.Slots <= 0 {
 			return admitter.Pool{}
 		}
-		p.Add(l.Slots, own, others)
+		p.Add(l.Slots, own, others, stale)
 		if l.Center == a.center {
 			connections += localFactor * q.connectionShare(service)
 		} else {
@@ -232,7 +233,7 @@
 }
 
 // observeService records how long a leaf's answer took.
-func (a *Answerer) observeService(service string, took time.Duration, load *carrier.Load) {
+func (a *Answerer) observeService(l *cataloguer.Leaf, took time.Duration, load *carrier.Load, now time.Time) {
 	d := a.admission
 	if d == nil {
 		return
@@ -243,7 +244,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.admitter.Answered(service, took, waiting, slots)
+	d.admitter.Answered(l.Service, l.Name, took, waiting, slots, now)
 }
 
 // rejected logs and counts a rejection and returns the reply.
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -164,7 +164,7 @@
 	if class.reason == reasonNone {
 		q.answers[c.Attempt] = r.answer
 		q.answerer.estimate.Observe(q.route.Name, now.Sub(c.Sent))
-		q.answerer.observeService(c.Target.Leaf.Service, now.Sub(c.Sent), r.answer.Load)
+		q.answerer.observeService(c.Target.Leaf, now.Sub(c.Sent), r.answer.Load, now)
 		return planner.Event{Kind: planner.Returned, Result: result}
 	}
 	q.answerer.metrics.fail(class.reason)
--- a/lib/admitter/admitter.go
+++ b/lib/admitter/admitter.go
@@ -71,12 +71,19 @@
 	Own int
 	// Connections is the number of connections to them that this host may use, 0 if unknown.
 	Connections int
+	// Leaves is their number, and Stale the number of those without a fresh report; one whose report is about to expire counts
+	// in part.
+	Leaves int
+	Stale  float64
 	// Hosts is the number of hosts that share the leaves.
 	Hosts int
 }
 
-// Add adds a leaf to the pool, given its slots, this host's open calls to it and the expected number of other calls on it.
-func (p *Pool) Add(slots, own int, others float64) {
+// Add adds a leaf to the pool, given its slots, this host's open calls to it, the expected number of other calls on it, and
+// the part of the latter that was lost because of its age, from 0 to 1.
+func (p *Pool) Add(slots, own int, others, stale float64) {
+	p.Leaves++
+	p.Stale += stale
 	calls := float64(own) + others
 	used := min(calls, float64(slots))
 	p.Slots += slots
@@ -179,6 +186,11 @@
 	for _, name := range r.Services {
 		a.service(name).see(r, now)
 	}
+	if d, ok := a.thinned(r, pools, random, now); ok {
+		t.Decision = d
+		a.reject(t, random, now)
+		return t
+	}
 	taken := a.reservations(r, now)
 	t.Decision = a.evaluate(t, pools, taken, now)
 	if t.Decision.Verdict == Waiting && len(a.waiting) >= maxWaiting {
@@ -340,9 +352,16 @@
 	return deadlineMargin
 }
 
-// Answered records how long a call to a leaf of a service took, with the calls that waited on the leaf when it answered.
-func (a *Admitter) Answered(name string, took time.Duration, waiting, slots int) {
-	a.service(name).answered(took, waiting, slots)
+// Answered records how long a call to a leaf of a service took, with the calls that waited on the leaf when it answered, and
+// its slots, 0 if it did not report them.
+func (a *Admitter) Answered(name, leaf string, took time.Duration, waiting, slots int, now time.Time) {
+	s := a.service(name)
+	s.answered(took, waiting, slots)
+	if waiting <= 0 || slots <= 0 {
+		s.observe(leaf, 0, now)
+		return
+	}
+	s.observe(leaf, time.Duration(float64(s.mean())*(1+float64(waiting+1)/float64(slots))), now)
 }
 
 func (a *Admitter) service(name string) *service {
--- a/lib/admitter/admitter_test.go
+++ b/lib/admitter/admitter_test.go
@@ -105,6 +105,19 @@
 	}
 }
 
+// Load: as many hosts as in the largest deployment, so that each hears of a leaf about once a second. Guards against hosts
+// that admit everything because their reports are too old to judge by.
+func TestOverloadOfManyHosts(t *testing.T) {
+	for _, name := range []string{"burst of wide by 2.5", "one tenant by 7.5"} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(1, 133, 8, loads()[name]...)
+			s.loseAt = 12 * time.Second
+			s.run(30 * time.Second)
+			check(t, s)
+		})
+	}
+}
+
 func check(t *testing.T, s *simulation) {
 	var all counts
 	for _, r := range s.results {
@@ -124,7 +137,10 @@
 // Guards against rejecting or delaying requests while slots are free, with any mix of requests.
 func TestNothingIsRejectedBelowSaturation(t *testing.T) {
 	for seed := range uint64(12) {
-		s := newSimulation(seed, 1+int(seed)%5*3, 8, wide("a", 20+10*float64(seed%4)), urgent("b", 40), narrow("c", 4+float64(seed%3)))
+		s := newSimulation(seed, []int{1, 4, 30, 133}[seed%4], 8, wide("a", 20+10*float64(seed%4)), urgent("b", 40), narrow("c", 4+float64(seed%3)))
+		if seed >= 4 {
+			s.pauseTime = 150 * time.Millisecond
+		}
 		s.run(10 * time.Second)
 		qt.Check(t, s.delayed, qt.Equals, 0, qt.Commentf("seed %d: %+v", seed, s.results))
 	}
@@ -140,7 +156,7 @@
 func measured() *admitter.Admitter {
 	a := admitter.New()
 	for range 10 {
-		a.Answered("s", 100*time.Millisecond, 0, 4)
+		a.Answered("s", "l", 100*time.Millisecond, 0, 4, time.Unix(1000, 0))
 	}
 	return a
 }
--- a/lib/admitter/limits.go
+++ b/lib/admitter/limits.go
@@ -50,6 +50,10 @@
 	average float64
 	// seen holds the latest sighting of each kind of request.
 	seen map[kind]sighting
+	// queued is the leaf that reported a queue first, empty after a report without one.
+	queued string
+	// thinned holds the part of each kind that is admitted.
+	thinned map[kind]thinning
 	// slots and hosts are the latest known numbers of slots and of hosts that share them.
 	slots, hosts int
 	// promised is the earliest time that the next rejected caller is told to return at.
--- a/lib/admitter/sim_test.go
+++ b/lib/admitter/sim_test.go
@@ -41,6 +41,7 @@
 type simLeaf struct {
 	slots, running int
 	slow           float64
+	pausedUntil    time.Time
 	queue          []*simCall
 }
 
@@ -93,6 +94,8 @@
 	results []counts
 	// loseAt is when a quarter of the hosts is lost with their requests; 0 for never.
 	loseAt time.Duration
+	// pauseTime is how long each leaf pauses every pauseInterval; 0 for never.
+	pauseTime time.Duration
 	// retries are the jobs that callers will send again.
 	retries []*job
 	// delayed counts requests that were not admitted at once.
@@ -102,12 +105,13 @@
 }
 
 const (
-	simStep     = time.Millisecond
-	stepMillis  = 5 // Interval of Step in milliseconds.
-	simLeaves   = 3
-	simSlots    = 4
-	reportFresh = 250 * time.Millisecond
-	reportAge   = time.Second
+	simStep       = time.Millisecond
+	stepMillis    = 5 // Interval of Step in milliseconds.
+	simLeaves     = 3
+	pauseInterval = 3600 * time.Millisecond
+	simSlots      = 4
+	reportFresh   = 250 * time.Millisecond
+	reportAge     = time.Second
 )
 
 func newSimulation(seed uint64, hosts, services int, kinds ...traffic) *simulation {
@@ -145,22 +149,24 @@
 	return func(name string) admitter.Pool {
 		p := admitter.Pool{Hosts: len(s.hosts), Connections: s.connections * simLeaves}
 		for i, l := range s.leaves[name] {
-			p.Add(l.slots, h.own[name][i], s.others(h, name, i))
+			others, stale := s.others(h, name, i)
+			p.Add(l.slots, h.own[name][i], others, stale)
 		}
 		return p
 	}
 }
 
-func (s *simulation) others(h *simHost, name string, i int) float64 {
+func (s *simulation) others(h *simHost, name string, i int) (others, stale float64) {
 	r := h.reports[name][i]
 	age := s.now.Sub(r.at)
 	switch {
 	case age >= reportAge:
-		return 0
+		return 0, 1
 	case age <= reportFresh:
-		return r.others
+		return r.others, 0
 	}
-	return r.others * float64(reportAge-age) / float64(reportAge-reportFresh)
+	stale = float64(age-reportFresh) / float64(reportAge-reportFresh)
+	return r.others * (1 - stale), stale
 }
 
 func (s *simulation) run(length time.Duration) {
@@ -174,6 +180,7 @@
 			}
 		}
 		s.finish()
+		s.pause(elapsed)
 		for i := range s.kinds {
 			k := &s.kinds[i]
 			rate := k.perSecond
@@ -201,6 +208,26 @@
 	}
 }
 
+// pause pauses each leaf at its own time, if leaves pause.
+func (s *simulation) pause(elapsed time.Duration) {
+	if s.pauseTime == 0 {
+		return
+	}
+	for i := range len(s.leaves) {
+		for j, l := range s.leaves[serviceName(i)] {
+			if (elapsed+time.Duration(i*simLeaves+j)*pauseInterval/time.Duration(len(s.leaves)*simLeaves))%pauseInterval != 0 {
+				continue
+			}
+			l.pausedUntil = s.now.Add(s.pauseTime)
+			for _, c := range s.running {
+				if c.service == serviceName(i) && c.leaf == j {
+					c.ends = c.ends.Add(s.pauseTime)
+				}
+			}
+		}
+	}
+}
+
 func (s *simulation) countUnfinished(h *simHost) {
 	for _, j := range h.admitted {
 		if j.missing > 0 {
@@ -285,7 +312,8 @@
 func (s *simulation) send(j *job, name string) {
 	best, least := 0, 0.0
 	for i := range s.leaves[name] {
-		load := float64(j.host.own[name][i]) + s.others(j.host, name, i) + s.random.Float64()
+		others, _ := s.others(j.host, name, i)
+		load := float64(j.host.own[name][i]) + others + s.random.Float64()
 		if i == 0 || load < least {
 			best, least = i, load
 		}
@@ -307,7 +335,7 @@
 		}
 		l.running++
 		c.waited = len(l.queue)
-		c.ends = s.now.Add(time.Duration(float64(c.job.traffic.work) * l.slow * (0.7 + 0.6*s.random.Float64())))
+		c.ends = s.now.Add(max(0, l.pausedUntil.Sub(s.now))).Add(time.Duration(float64(c.job.traffic.work) * l.slow * (0.7 + 0.6*s.random.Float64())))
 		s.running = append(s.running, c)
 	}
 }
@@ -330,7 +358,7 @@
 		h.own[c.service][c.leaf]--
 		load := l.running + len(l.queue) - h.own[c.service][c.leaf]
 		h.reports[c.service][c.leaf] = report{others: max(0, float64(load)), at: s.now}
-		h.admitter.Answered(c.service, s.now.Sub(c.sent), len(l.queue), l.slots)
+		h.admitter.Answered(c.service, fmt.Sprint(c.leaf), s.now.Sub(c.sent), len(l.queue), l.slots, s.now)
 		if j.missing--; j.missing != 0 || h.lost || s.now.After(j.request.Deadline) {
 			continue
 		}
--- a/lib/selector/occupancy.go
+++ b/lib/selector/occupancy.go
@@ -14,13 +14,14 @@
 )
 
 // Occupancy returns the open calls of this host to a leaf and the expected number of calls of other hosts on it, 0 without a
-// recent report. It reports false if the leaf may not be called now.
-func (t *Table) Occupancy(l *cataloguer.Leaf, now time.Time) (own int, others float64, callable bool) {
+// recent report, and the part of the latter that was lost because of the report's age, from 0 to 1. It reports false if the
+// leaf may not be called now.
+func (t *Table) Occupancy(l *cataloguer.Leaf, now time.Time) (own int, others, stale float64, callable bool) {
 	r, unlock := t.stats(l.Name, l.Incarnation, now)
 	defer unlock()
 	if r.isBarred(now) || now.Before(r.retryAt) || r.failedConnects > 0 {
-		return 0, 0, false
+		return 0, 0, 1, false
 	}
-	share := float64(staleReport-now.Sub(r.loadAt)) / float64(staleReport-freshReport)
-	return len(r.open), r.otherCalls * min(max(share, 0), 1), true
+	stale = min(max(float64(now.Sub(r.loadAt)-freshReport)/float64(staleReport-freshReport), 0), 1)
+	return len(r.open), r.otherCalls * (1 - stale), stale, true
 }
--- a/lib/selector/occupancy_test.go
+++ b/lib/selector/occupancy_test.go
@@ -18,19 +18,22 @@
 	first, second := table.Begin(leaf, &choice, now), table.Begin(leaf, &choice, now)
 	first.End(selector.Answered, 9, now)
 	for _, c := range []struct {
-		age    time.Duration
-		others float64
-	}{{0, 8}, {250 * time.Millisecond, 8}, {625 * time.Millisecond, 4}, {time.Second, 0}, {time.Hour, 0}} {
-		own, others, callable := table.Occupancy(leaf, now.Add(c.age))
+		age           time.Duration
+		others, stale float64
+	}{{0, 8, 0}, {250 * time.Millisecond, 8, 0}, {625 * time.Millisecond, 4, 0.5}, {time.Second, 0, 1}, {time.Hour, 0, 1}} {
+		own, others, stale, callable := table.Occupancy(leaf, now.Add(c.age))
 		qt.Assert(t, callable, qt.IsTrue)
 		qt.Assert(t, own, qt.Equals, 1)
+		qt.Assert(t, stale, qt.Equals, c.stale)
 		qt.Assert(t, others, qt.Equals, c.others, qt.Commentf("%s", c.age))
 	}
+	callable := func(l *cataloguer.Leaf) bool {
+		own, _, _, ok := table.Occupancy(l, now)
+		return ok || own > 0
+	}
 	second.End(selector.Unreachable, -1, now)
-	_, _, callable := table.Occupancy(leaf, now)
-	qt.Assert(t, callable, qt.IsFalse)
+	qt.Assert(t, callable(leaf), qt.IsFalse)
 	other := &cataloguer.Leaf{Name: "m", Incarnation: 1, Slots: 4}
 	table.Pause(other, now.Add(time.Second), now)
-	_, _, callable = table.Occupancy(other, now)
-	qt.Assert(t, callable, qt.IsFalse)
+	qt.Assert(t, callable(other), qt.IsFalse)
 }
