fleetd: tell the asking host of the queue at the leaves of a portion

Cause: a host that has its queries gathered by others calls few of the leaves itself, and admitted every divided query. Change: the answer to Gather carries the expected time until the answer of a further request, absent while there are free slots; two in turn that are too long reduce the admitted part of divided queries for some seconds.

--- a/fleetd/answerer/admission.go
+++ b/fleetd/answerer/admission.go
@@ -247,6 +247,29 @@
 	d.admitter.Answered(l.Service, l.Name, took, waiting, slots, now)
 }
 
+// expectedForOthers returns the time until an answer that the requester of a portion must expect for a further request.
+func (q *query) expectedForOthers() time.Duration {
+	if q.ticket == nil {
+		return 0
+	}
+	a, d, now := q.answerer, q.answerer.admission, q.answerer.clock()
+	pools := a.pools(now)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.admitter.Expected(q.shards, q.maxMissing, pools, now)
+}
+
+// observePortion records what another host expects of the leaves of a portion.
+func (q *query) observePortion(p *Portion, parts *Parts) {
+	d := q.answerer.admission
+	if q.ticket == nil || len(parts.Stamps) == 0 && parts.Expected == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.admitter.Gathered(p.Services, q.request.ID, parts.Expected, q.answerer.clock())
+}
+
 // rejected logs and counts a rejection and returns the reply.
 func (q *query) rejected(d *admitter.Decision) *carrier.Reply {
 	a, now := q.answerer, q.answerer.clock()
--- a/fleetd/answerer/admission_test.go
+++ b/fleetd/answerer/admission_test.go
@@ -48,7 +48,7 @@
 }
 
 func (f *fleet) admitting(always bool, options ...answerer.Option) *answerer.Answerer {
-	options = append(options, answerer.WithRandom(func() float64 { return 0 }), answerer.WithAdmission(always))
+	options = append([]answerer.Option{answerer.WithRandom(func() float64 { return 0 }), answerer.WithAdmission(always)}, options...)
 	return answerer.New("host", "a", f, f, answerer.Bounds{Ratio: 0.2, Slack: 58, Window: 10 * time.Second}, time.Now, options...)
 }
 
@@ -144,3 +144,47 @@
 		qt.Assert(t, outcomes, qt.DeepEquals, map[carrier.Outcome]int{carrier.Answered: connections + 1, carrier.Abandoned: 1, carrier.Refused: 1})
 	})
 }
+
+// Load: hosts that gather portions expect answers long after the target. Guards against a host that admits every divided
+// query because it calls none of the leaves itself, and against one that goes on rejecting when the load is over.
+func TestDividedQueriesAreThinnedOut(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f, _, h := newHelpers()
+		expected := 20 * target
+		h.replaceAll(func(_ context.Context, p *answerer.Portion, emit func(*answerer.Parts)) error {
+			time.Sleep(typical)
+			emit(&answerer.Parts{Stamps: p.Services, Final: true, Expected: expected})
+			return nil
+		})
+		a := f.admitting(true, answerer.WithHelpers("self", 9, 3, h), answerer.WithRandom(func() float64 { return 0.9 }))
+		for range 2 {
+			reply, _ := ask(a, "/all/2f")
+			qt.Assert(t, reply.Outcome, qt.Equals, carrier.Gathered)
+		}
+		reply, took := ask(a, "/all/2f")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Refused)
+		qt.Assert(t, reply.RetryAfter > 0, qt.IsTrue)
+		qt.Assert(t, took, qt.Equals, time.Duration(0))
+		expected = 0
+		time.Sleep(15 * time.Second)
+		reply, _ = ask(a, "/all/2f")
+		qt.Assert(t, reply.Outcome, qt.Equals, carrier.Gathered)
+	})
+}
+
+// Guards against a gathering host that does not tell the others of its leaves' queue, and against one that rejects a portion.
+func TestGatheringHostTellsOfTheQueue(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(1)
+		a := f.admitting(true)
+		f.overload(a)
+		now := time.Now()
+		var emitted []*answerer.Parts
+		a.Gather(context.Background(), &answerer.Portion{
+			Request: &carrier.Request{ID: "p", Received: now}, Route: "all", RouteTarget: target, Services: []string{"s0"}, Top: 3, Attempts: 2,
+			SoftDeadline: now.Add(target), Deadline: now.Add(2 * timeout),
+		}, func(p *answerer.Parts) { emitted = append(emitted, p) })
+		qt.Assert(t, emitted[len(emitted)-1].Stamps, qt.HasLen, 1)
+		qt.Assert(t, emitted[0].Expected > target, qt.IsTrue, qt.Commentf("%s", emitted[0].Expected))
+	})
+}
--- a/fleetd/answerer/divide.go
+++ b/fleetd/answerer/divide.go
@@ -145,6 +145,7 @@
 		select {
 		case u := <-updates:
 			portions[u.number].parts = u.parts
+			q.observePortion(portions[u.number].portion, u.parts)
 			assemble.Update(u.number, len(u.parts.Stamps), u.parts.Final)
 			q.answered = q.answered || len(u.parts.Stamps) > 0
 			q.lostConnections += u.parts.LostConnections
--- a/fleetd/answerer/portion.go
+++ b/fleetd/answerer/portion.go
@@ -52,6 +52,8 @@
 	// LostConnections is the number of leaf calls whose connections were lost after the request was sent. It is set
 	// together with Final.
 	LostConnections int
+	// Expected is the expected time until the answer of a further request for the portion, 0 while the leaves have free slots.
+	Expected time.Duration
 }
 
 // Gather calls the leaves of a portion. It emits the parts received by the portion's soft deadline, emits again
@@ -100,6 +102,7 @@
 		bodies = append(bodies, answer.Body)
 	}
 	out.Records = merger.Merge(bodies, q.route.Top)
+	out.Expected = q.expectedForOthers()
 	q.emitted = len(q.answers)
 	return out
 }
--- a/fleetd/helper/client.go
+++ b/fleetd/helper/client.go
@@ -108,7 +108,7 @@
 			break
 		}
 		received = true
-		emit(&answerer.Parts{Stamps: toStrings(m.GetStamps()), Records: m.GetRecords(), Final: m.GetLast(), NotRun: m.GetUnrun(), LostConnections: int(m.GetLost())})
+		emit(&answerer.Parts{Stamps: toStrings(m.GetStamps()), Records: m.GetRecords(), Final: m.GetLast(), NotRun: m.GetUnrun(), LostConnections: int(m.GetLost()), Expected: m.GetExpected().AsDuration()})
 	}
 	switch {
 	case errors.Is(err, io.EOF):
--- a/fleetd/helper/helper_test.go
+++ b/fleetd/helper/helper_test.go
@@ -38,7 +38,7 @@
 		first = "x"
 	}
 	emit(&answerer.Parts{Stamps: []string{first}, Records: []byte("0123456789abcdef")})
-	emit(&answerer.Parts{Stamps: []string{first, "y"}, Records: []byte("0123456789abcdef"), Final: true})
+	emit(&answerer.Parts{Stamps: []string{first, "y"}, Records: []byte("0123456789abcdef"), Final: true, Expected: time.Second})
 }
 
 // serve starts the service and returns its address.
@@ -83,6 +83,7 @@
 	qt.Assert(t, string(parts[1].Records), qt.Equals, "0123456789abcdef")
 	qt.Assert(t, parts[0].Final, qt.IsFalse)
 	qt.Assert(t, parts[1].Final, qt.IsTrue)
+	qt.Assert(t, []time.Duration{parts[0].Expected, parts[1].Expected}, qt.DeepEquals, []time.Duration{0, time.Second})
 	got := *g.portion.Load()
 	request := *got.Request
 	qt.Assert(t, request.Header, qt.DeepEquals, want.Request.Header)
--- a/fleetd/helper/service.go
+++ b/fleetd/helper/service.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
 
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/lib/carrier"
@@ -41,7 +42,11 @@
 	var failed error
 	s.gatherer.Gather(out.Context(), decode(m, s.clock()), func(p *answerer.Parts) {
 		if failed == nil {
-			failed = out.Send(&peerv1.GatherResponse{Stamps: toBytes(p.Stamps), Records: p.Records, Last: p.Final, Unrun: p.NotRun, Lost: uint32(p.LostConnections)}) //nolint:gosec // Small and not negative.
+			response := &peerv1.GatherResponse{Stamps: toBytes(p.Stamps), Records: p.Records, Last: p.Final, Unrun: p.NotRun, Lost: uint32(p.LostConnections)} //nolint:gosec // Small and not negative.
+			if p.Expected > 0 {
+				response.Expected = durationpb.New(p.Expected)
+			}
+			failed = out.Send(response)
 		}
 	})
 	return failed
--- a/lib/admitter/thinning.go
+++ b/lib/admitter/thinning.go
@@ -66,6 +66,28 @@
 	}
 }
 
+// Expected returns the expected time until the answer of a further request for a portion of which spare services may be
+// missing, 0 while there are free slots.
+func (a *Admitter) Expected(services []string, spare int, pools Pools, now time.Time) time.Duration {
+	each := make([]time.Duration, 0, len(services))
+	for _, name := range services {
+		each = append(each, a.serviceDecision(&Request{Remote: true}, name, pools(name), 0, true, false, now).Expected)
+	}
+	slices.Sort(each)
+	if spare >= len(each) {
+		return 0
+	}
+	return each[len(each)-1-spare]
+}
+
+// Gathered records the time that another host, which gathered a portion, expects for a further request. The source
+// distinguishes portions.
+func (a *Admitter) Gathered(services []string, source string, expected time.Duration, now time.Time) {
+	for _, name := range services {
+		a.service(name).observe(source, expected, now)
+	}
+}
+
 // thinned decides whether a request is among those that are rejected because of reported queues.
 func (a *Admitter) thinned(r *Request, pools Pools, random float64, now time.Time) (Decision, bool) {
 	if len(r.Services) == 0 || a.shares.starved(r, now) {
