explain: the coordinator of quotas may be asked by another control host

Since the acquirer also asks control hosts that are not followed, a host that follows none may still get a token, but explain named a rejection by the check "quota". It does so now only if the host knows no control host at all. TestExplainOfQuotas covers both cases.

--- a/fleetd/acquirer/acquirer.go
+++ b/fleetd/acquirer/acquirer.go
@@ -234,13 +234,13 @@
 	Left   time.Duration
 	// Silence is the time since the first call that no coordinator has answered, 0 if the latest ones were answered.
 	Silence time.Duration
-	// Unfollowed is true if no control host is followed, so that no coordinator can be asked.
-	Unfollowed bool
+	// Isolated is true if this host follows no control host and knows no other one, so that no coordinator can be asked.
+	Isolated bool
 }
 
 // Inspect returns the state of a tenant's quota. It asks no coordinator, counts no request and changes nothing.
 func (a *Acquirer) Inspect(tenant string) State {
-	out := State{Unfollowed: a.control() == ""}
+	out := State{Isolated: a.control() == "" && len(a.others()) == 0}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.bootClock()
--- a/fleetd/answerer/explain_test.go
+++ b/fleetd/answerer/explain_test.go
@@ -380,7 +380,8 @@
 func TestExplainOfQuotas(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		f, control := newFleet(1).withQuotas(), ""
-		quotas := acquirer.New(func() string { return control }, time.Now)
+		var others []string
+		quotas := acquirer.New(func() string { return control }, time.Now, acquirer.WithOthers(func() []string { return others }))
 		a := answerer.New("host", "a", f, f, answerer.Bounds{Window: time.Second}, time.Now, answerer.WithQuotas(quotas),
 			answerer.WithPreview(answerer.Preview{Quota: answerer.PreviewQuota(quotas)}))
 		out := a.Explain(request("/one/1", "k1"))
@@ -389,9 +390,10 @@
 		out = a.Explain(request("/one/1", "k2"))
 		qt.Check(t, out.Rejection, qt.IsNil)
 		qt.Check(t, out.Quota, qt.IsNil)
-		control = "10.0.0.1:1"
-		out = a.Explain(request("/one/1", "k1"))
-		qt.Check(t, out.Rejection, qt.IsNil)
-		qt.Check(t, out.Quota.Stock, qt.Equals, 0.0)
+		for control, others = range map[string][]string{"10.0.0.1:1": nil, "": {"10.0.0.1:1"}} {
+			out = a.Explain(request("/one/1", "k1"))
+			qt.Check(t, out.Rejection, qt.IsNil)
+			qt.Check(t, out.Quota.Stock, qt.Equals, 0.0)
+		}
 	})
 }
--- a/fleetd/answerer/quota.go
+++ b/fleetd/answerer/quota.go
@@ -70,7 +70,7 @@
 			out.ValidUntil = now.Add(s.Left)
 			return out, nil
 		}
-		if s.Unfollowed {
+		if s.Isolated {
 			return out, quotaReply(acquirer.Unavailability())
 		}
 		return out, nil
