keeper, suspector: read the losses after a trial has begun

TestBurstsOfASuspectRunOneAtATimeOnAllHosts failed now and then ("ran 3, want 2"). Trace of a failing run: a control host read the losses for its answer to Try, then the message that ended the trial before it arrived and merged the loss that blocked the fingerprint, and then the new trial began. The answer permitted the trial without the block, and one more request reached the leaves.

Try now begins the trial before it reads the losses. An ended trial's loss is merged before the trial ends, so the losses read are complete. The suspector also checks its own ledger after it has asked, whether or not a control host has answered: without an answer it ran requests whose block it had just received.

The test is unchanged.

--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -43,6 +43,12 @@
 	Status() replica.Status
 }
 
+// trials admits one request of a suspected fingerprint at a time.
+type trials interface {
+	Begin(fingerprint uint64, id string, until, now time.Time) time.Duration
+	End(fingerprint uint64, id string)
+}
+
 // Keeper is the state of one control host. It is safe for concurrent use.
 type Keeper struct {
 	host   string
@@ -55,7 +61,7 @@
 	// reads serves the calls by which followers confirm their state.
 	reads sharedReads
 	// trials holds the suspected requests that run at present.
-	trials *quarantiner.Trials
+	trials trials
 	clock  func() time.Time
 	// rollouts runs the orders for versions of services.
 	rollouts *rollouts
--- a/fleetd/keeper/losses.go
+++ b/fleetd/keeper/losses.go
@@ -27,9 +27,11 @@
 		k.trials.End(fingerprint, in.GetTrial())
 		return &peerv1.TryResponse{}, nil
 	}
-	out := &peerv1.TryResponse{Loss: suspector.Encode(k.losses.Find(fingerprint, now), now)}
 	limit := min(max(0, in.GetLimit().AsDuration()), maxTrialTime)
-	if wait := k.trials.Begin(fingerprint, in.GetTrial(), now.Add(limit), now); wait > 0 {
+	wait := k.trials.Begin(fingerprint, in.GetTrial(), now.Add(limit), now)
+	// The losses are read after the trial has begun, so that they include the loss with which the trial before it ended.
+	out := &peerv1.TryResponse{Loss: suspector.Encode(k.losses.Find(fingerprint, now), now)}
+	if wait > 0 {
 		out.Wait = durationpb.New(wait)
 	}
 	return out, nil
--- a/fleetd/suspector/trial.go
+++ b/fleetd/suspector/trial.go
@@ -41,8 +41,19 @@
 	}, 0
 }
 
-// ask asks the arbiter. A request runs if no arbiter can be reached: this host still runs one at a time.
+// ask asks the arbiter and returns the time after which the request is to come again, or 0 if it may run. The ledger is read
+// after the trial has begun: the trial before it may have ended with the loss that blocks the fingerprint.
 func (s *Suspector) ask(ctx context.Context, f uint64, trial string, limit time.Duration, now time.Time) time.Duration {
+	wait := s.consult(ctx, f, trial, limit, now)
+	if blocked := s.ledger.Blocked(f, now); blocked > 0 {
+		s.tell(f, trial, now)
+		return blocked
+	}
+	return wait
+}
+
+// consult returns the arbiter's answer. It is 0 if no arbiter can be reached: this host still runs one request at a time.
+func (s *Suspector) consult(ctx context.Context, f uint64, trial string, limit time.Duration, now time.Time) time.Duration {
 	if s.arbiter == nil {
 		return 0
 	}
@@ -53,10 +64,6 @@
 		return 0
 	}
 	s.Merge([]*peerv1.Loss{response.GetLoss()}, now)
-	if wait := s.ledger.Blocked(f, now); wait > 0 {
-		s.tell(f, trial, now)
-		return wait
-	}
 	return response.GetWait().AsDuration()
 }
 
