quoter: hand out tokens of the bucket for the stock against payment

Change: tokens of the bucket may be kept in stock; they are debited when they are handed out and take room in the bucket.

--- a/lib/quoter/coordinator.go
+++ b/lib/quoter/coordinator.go
@@ -43,9 +43,11 @@
 	at    time.Time
 	// slot is the time that was given last to a rejected request.
 	slot time.Time
-	// lots are the tokens in stock, by stamp, and outstanding is their number.
-	lots        map[uint64]*lot
-	outstanding int
+	// lots are the tokens in stock, by stamp. outstanding is the number of those that the bucket pays for when they are used, and
+	// prepaid that of those that it paid for when they were handed out. The latter take room in the bucket, so that
+	// what is in it and what was paid for is never more than its capacity.
+	lots                 map[uint64]*lot
+	outstanding, prepaid int
 	// limited is false when the tenant has no quota. removed is when it left the configuration, zero while it is there.
 	limited bool
 	removed time.Time
@@ -55,6 +57,7 @@
 type lot struct {
 	count   int
 	expires time.Time
+	prepaid bool
 }
 
 // NewCoordinator returns a coordinator without an epoch.
@@ -108,7 +111,7 @@
 		b.refill(now)
 	}
 	// Tokens in stock beyond the new limit count as used.
-	b.level = min(b.level, b.plan.capacity) - max(0, float64(b.outstanding)-b.plan.stock)
+	b.level = min(b.level, b.room()) - max(0, float64(b.outstanding)-b.plan.stock)
 }
 
 // Acquire answers a request. contact is the sending time of the last round of messages that a majority has answered.
@@ -148,17 +151,51 @@
 		out.Retry, out.Step = b.nextSlots(denied, now)
 		return out
 	}
-	if out.Stock = c.stockFor(b, a.Stock, now); out.Stock > 0 {
-		b.lots[c.stamp] = &lot{count: out.Stock, expires: now.Add(c.bounds.Validity() + expiryMargin)}
-		b.outstanding += out.Stock
+	l := &lot{expires: now.Add(c.bounds.Validity() + expiryMargin)}
+	if l.count = c.stockFor(b, a.Stock, now); l.count > 0 {
+		b.outstanding += l.count
+	} else if l.count = b.prepaidFor(a.Stock); l.count > 0 {
+		l.prepaid = true
+		b.prepaid += l.count
+		b.level -= float64(l.count)
+	}
+	if out.Stock = l.count; out.Stock > 0 {
+		b.lots[c.stamp] = l
 	}
 	return out
 }
 
+// prepaidFor returns how many tokens of those wanted are handed out for the stock against payment: as many as leave the bucket half
+// full, so that a burst on another host finds tokens.
+func (b *bucket) prepaidFor(wanted int) int {
+	free := int(b.level - b.plan.capacity/2) //nolint:mnd // Half.
+	if wanted <= 0 || free <= 0 {
+		return 0
+	}
+	return min(wanted, max(1, free/stockDivisor))
+}
+
+// room returns the number of tokens that the bucket may hold.
+func (b *bucket) room() float64 {
+	return b.plan.capacity - float64(b.prepaid)
+}
+
+// remove takes tokens out of a lot: used ones, and unused ones that come back.
+func (b *bucket) remove(l *lot, used, unused int) {
+	l.count -= used + unused
+	if l.prepaid {
+		b.prepaid -= used + unused
+		b.level = min(b.room(), b.level+float64(unused))
+		return
+	}
+	b.level -= float64(used)
+	b.outstanding -= used + unused
+}
+
 // refill adds the tokens of the time that has passed. Before the first grants of an epoch are due, there are none.
 func (b *bucket) refill(now time.Time) {
 	if passed := now.Sub(b.at); passed > 0 {
-		b.level = min(b.plan.capacity, b.level+b.plan.rate*passed.Seconds())
+		b.level = min(b.room(), b.level+b.plan.rate*passed.Seconds())
 		b.at = now
 	}
 }
@@ -173,8 +210,7 @@
 func (b *bucket) expire(now time.Time) {
 	for stamp, l := range b.lots {
 		if !now.Before(l.expires) {
-			b.level -= float64(l.count)
-			b.outstanding -= l.count
+			b.remove(l, l.count, 0)
 			delete(b.lots, stamp)
 		}
 	}
@@ -186,7 +222,7 @@
 	renewed := true
 	for _, s := range settlements {
 		if age := now.Sub(c.began) - time.Duration(s.Stamp); s.Unrun > 0 && age >= 0 && age <= b.plan.refund { //nolint:gosec // A stamp is an age.
-			b.level = min(b.plan.capacity, b.level+float64(s.Unrun))
+			b.level = min(b.room(), b.level+float64(s.Unrun))
 		}
 		l, ok := b.lots[s.Stamp]
 		if !ok {
@@ -195,14 +231,12 @@
 		}
 		used := min(max(s.Used, 0), l.count)
 		unused := min(max(s.Unused, 0), l.count-used)
-		b.level -= float64(used)
-		l.count -= used + unused
-		b.outstanding -= used + unused
+		b.remove(l, used, unused)
 		switch {
 		case l.count == 0:
 			delete(b.lots, s.Stamp)
 			renewed = renewed && !s.Renew
-		case s.Renew && renewable:
+		case s.Renew && (renewable || l.prepaid):
 			l.expires = now.Add(c.bounds.Validity() + expiryMargin)
 		case s.Renew:
 			renewed = false
