keeper: check once for all streams whether a leader has been heard

Each stream looked every 20 ms whether a leader had been heard, and sent the hosts that had joined meanwhile, so that hundreds of streams left no time for the election. Change: one check for all streams, which wakes them when a leader is heard; a stream by itself looks every 100 ms as before.

--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -18,12 +18,8 @@
 // batchDelay is how long changes are collected before they are sent in one message.
 const batchDelay = 5 * time.Millisecond
 
-const (
-	// checkInterval is the time between checks that this host is still in contact with a leader.
-	checkInterval = 100 * time.Millisecond
-	// leaderlessInterval replaces checkInterval while it is not: entry hosts that have just started accept no state before.
-	leaderlessInterval = 20 * time.Millisecond
-)
+// checkInterval is the time between checks that this host is still in contact with a leader.
+const checkInterval = 100 * time.Millisecond
 
 // Service is the gRPC service for the hosts that follow a keeper.
 type Service struct {
@@ -74,16 +70,16 @@
 		eventer.FollowerLeft.Log(k.clock(), "host", request.GetHost())
 	}()
 	f := &stream{keeper: k, request: request, version: request.GetVersion(), departed: make(map[string]uint64)}
-	timer := time.NewTimer(checkInterval)
-	defer timer.Stop()
+	ticker := time.NewTicker(checkInterval)
+	defer ticker.Stop()
 	for {
+		heard := k.leader.heard()
 		view, batch := k.store.View(), k.roster.Since(f.revision, request.GetControl())
 		if m := f.next(view, batch, k.clock()); m != nil {
 			if err := out.Send(m); err != nil {
 				return oops.In("keeper").Wrapf(err, "send")
 			}
 		}
-		timer.Reset(f.nextCheck())
 		select {
 		case <-out.Context().Done():
 			return nil
@@ -93,19 +89,12 @@
 			time.Sleep(batchDelay)
 		case <-batch.Changed:
 			time.Sleep(batchDelay)
-		case <-timer.C:
+		case <-heard:
+		case <-ticker.C:
 		}
 	}
 }
 
-// nextCheck returns the time until the next check for changes that no channel announces.
-func (f *stream) nextCheck() time.Duration {
-	if f.settled {
-		return checkInterval
-	}
-	return leaderlessInterval
-}
-
 // next returns the next message for the follower, or nil if there is nothing to send.
 func (f *stream) next(view store.View, batch enroller.Batch, now time.Time) *peerv1.FollowResponse {
 	m := &peerv1.FollowResponse{Index: view.Index, Settled: f.keeper.Settled(now), Alone: f.keeper.isolated(now)}
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -58,6 +58,8 @@
 	roster *enroller.Roster
 	// losses tracks requests that are suspected of crashing the leaves that run them.
 	losses *quarantiner.Ledger
+	// leader tells the streams when a leader has been heard.
+	leader leaderSignal
 	// reads serves the calls by which followers confirm their state.
 	reads sharedReads
 	// trials holds the suspected requests that run at present.
@@ -270,6 +272,7 @@
 		eventer.RosterLoadFailed.Log(k.clock(), "error", err.Error())
 	}
 	eventer.RosterLoaded.Log(k.clock(), "leaves", known)
+	go k.watchLeader(ctx)
 	saved := k.roster.Since(0, false).Revision
 	repeater.Every(ctx, sweepInterval, func() {
 		now := k.clock()
