Spare control hosts that have no leader

Hosts asked for confirmations before there was a configuration, ten times a second each while there was no leader, and urgent reads followed one another without a pause. Change: a host confirms only a configuration with routes that need a key; urgent reads begin at least 20 ms apart; a failed call for tokens is repeated after 25 ms.

--- a/fleetd/acquirer/acquirer.go
+++ b/fleetd/acquirer/acquirer.go
@@ -34,8 +34,9 @@
 	maxFlights = 4
 	// silenceTimeout is the time without an answer after which the connection is replaced and event 5027 is logged.
 	silenceTimeout = 200 * time.Millisecond
-	// failurePause is the wait after a failed call before the next one.
-	failurePause = 10 * time.Millisecond
+	// failurePause is the wait after a failed call before the next one. All hosts call while there is no leader, and must leave the
+	// control hosts time to elect one.
+	failurePause = 25 * time.Millisecond
 	// electionWait is the retry delay of requests that were refused because no coordinator has answered for silenceTimeout: an
 	// election usually takes so long.
 	electionWait = time.Second
--- a/fleetd/confirmer/confirmer.go
+++ b/fleetd/confirmer/confirmer.go
@@ -119,7 +119,7 @@
 	for {
 		address, changed := c.source.Followed()
 		wait := idleWait
-		if address != "" {
+		if address != "" && c.isNeeded() {
 			wait = c.send(ctx, address)
 		}
 		confirmed = c.observe(confirmed, address)
@@ -137,8 +137,16 @@
 	}
 }
 
-// idleWait is the time between two reports of metrics while no control host has been followed yet.
-const idleWait = time.Second
+// idleWait is the time between two checks whether a confirmation is needed. It delays the service of a host that has just
+// received its configuration.
+const idleWait = 20 * time.Millisecond
+
+// isNeeded reports whether this host holds a configuration with routes that need a key. Without one there is nothing to confirm, and
+// hundreds of hosts that start together would keep the control hosts from electing a leader.
+func (c *Confirmer) isNeeded() bool {
+	table := c.viewer.View().Table
+	return table != nil && table.NeedsKeys()
+}
 
 // send sends a call if one is due. It returns the time until the next one is.
 func (c *Confirmer) send(ctx context.Context, address string) time.Duration {
--- a/fleetd/keeper/confirm.go
+++ b/fleetd/keeper/confirm.go
@@ -17,6 +17,10 @@
 	return func(k *Keeper) { k.reads.spacing = spacing }
 }
 
+// urgentSpacing is the minimum time between the beginnings of two reads when an urgent call waits: when hundreds of hosts start
+// together, reads must leave time for everything else.
+const urgentSpacing = 20 * time.Millisecond
+
 // Confirm returns the position of a state that includes everything acknowledged before the call arrived.
 func (s *Service) Confirm(ctx context.Context, in *peerv1.ConfirmRequest) (*peerv1.ConfirmResponse, error) {
 	out, err := s.keeper.reads.join(ctx, in.GetUrgent(), s.keeper.confirm)
@@ -99,12 +103,13 @@
 			return
 		}
 		r.mu.Unlock()
-		spaced := time.After(r.spacing)
+		spaced, soon := time.After(r.spacing), time.After(min(r.spacing, urgentSpacing))
 		current.result, current.err = read()
 		close(current.done)
 		select {
 		case <-spaced:
 		case <-r.hurry:
+			<-soon
 		}
 	}
 }
