--- a/fleetd/answerer/admission.go
+++ b/fleetd/answerer/admission.go
@@ -103,7 +103,8 @@
 	return nil
 }
 
-// await waits until a request no longer waits for admission, which it does not after until. It returns a reply if the caller leaves or the host stops.
+// await waits until a request no longer waits for admission, which it does not after until. It returns a reply if the caller
+// leaves or the host stops.
 func (q *query) await(ctx context.Context, t *admitter.Ticket, until time.Time, decided <-chan struct{}) *carrier.Reply {
 	a, d := q.answerer, q.answerer.admission
 	timer := time.NewTimer(0)
--- a/fleetd/answerer/authorize.go
+++ b/fleetd/answerer/authorize.go
@@ -63,8 +63,8 @@
 	return nil
 }
 
-// adoptTenant determines the tenant and the key of a portion that this host gathers, and drops what must not reach leaves. The requester has checked them; the key is known by its
-// position if this host holds the requester's version of the configuration.
+// adoptTenant determines the tenant and the key of a portion that this host gathers, and drops what must not reach leaves. The
+// requester has checked them; the key is known by its position if this host holds the requester's version of the configuration.
 func (q *query) adoptTenant(p *Portion) {
 	name, table := p.Request.Tenant, q.view.Table
 	if len(p.Request.Withheld) > 0 && table.Document().Authenticated {
