replicator: announce commits to members whose records are in flight

Cause: when a record is committed, the leader told only the members that had nothing in flight. The member with the slowest disk had acknowledged nothing yet, and its later acknowledgement caused no message. It applied the record at the next heartbeat or record, up to 150 ms later (heartbeats are sent on a tick of 50 ms). On the platform the same delay holds back evacuations, departures and configurations at the hosts that follow that control host.

Change: a commit is announced at the index of the records that were sent, so that the member applies them as soon as it has persisted them. If the announcement overtakes the records, the member rejects it, and it is sent again after the acknowledgement.

--- a/lib/replicator/append.go
+++ b/lib/replicator/append.go
@@ -15,6 +15,7 @@
 	match, next uint64
 	contact     time.Time // of the last response
 	round       uint64    // newest read round acknowledged
+	announced   uint64    // highest index of which a request has told the member that it is committed
 
 	inFlight          bool // a batch or chunk is in flight
 	previous, pending uint64
@@ -82,6 +83,27 @@
 	r.early = append(r.early, m)
 }
 
+// announceCommit tells a member which of the records that were sent to it are committed, so that it applies them without
+// waiting for the next heartbeat. A member that has not received the records yet rejects the request.
+func (r *Replicator) announceCommit(host string, p *progress) {
+	if p.encoded != nil {
+		return // The member is being sent a snapshot.
+	}
+	sent := p.match
+	if p.inFlight {
+		sent = p.pending
+	}
+	index := min(r.commit, sent)
+	previousTerm, ok := r.log.term(index)
+	if p.announced >= index || !ok {
+		return
+	}
+	p.announced = index
+	m := r.appendRequest(host, p)
+	m.Previous, m.PreviousTerm = index, previousTerm
+	r.early = append(r.early, m)
+}
+
 func (r *Replicator) appendRequest(host string, p *progress) Message {
 	return Message{
 		Kind: AppendRequest, From: r.config.Host, To: host, Incarnation: r.state.GetIncarnation(), Target: p.incarnation,
@@ -115,6 +137,7 @@
 	m.PreviousTerm, _ = r.log.term(m.Previous)
 	p.inFlight, p.sentAt = true, now
 	p.previous, p.pending = m.Previous, records[len(records)-1].GetIndex()
+	p.announced = min(r.commit, p.pending)
 	r.early = append(r.early, m)
 }
 
@@ -218,9 +241,8 @@
 		}
 		p.raiseMatch(m.Match)
 		p.updateCaughtUp(now, r.log.last(), r.config.Election)
-	} else if p.inFlight && m.Previous == p.previous {
-		p.inFlight = false
-		p.next = max(p.match+1, min(m.Match+1, m.Previous))
+	} else {
+		p.reject(m)
 	}
 	r.confirmReads()
 	r.confirmRounds()
@@ -228,9 +250,22 @@
 		r.sendHandOver(p)
 	}
 	r.replicate(now)
+	if r.role == Leader && (m.Granted || !p.inFlight) {
+		r.announceCommit(m.From, p)
+	}
 	r.maintainMembers(now)
 }
 
+// reject handles a rejection: of records, which are sent again from an earlier index, or of the announcement of a commit
+// that has overtaken its records.
+func (p *progress) reject(m Message) {
+	p.announced = 0
+	if p.inFlight && m.Previous == p.previous {
+		p.inFlight = false
+		p.next = max(p.match+1, min(m.Match+1, m.Previous))
+	}
+}
+
 func (p *progress) raiseMatch(match uint64) {
 	p.match = max(p.match, match)
 	p.next = max(p.next, p.match+1)
@@ -273,10 +308,5 @@
 		r.becomeFollower(now, r.state.GetTerm(), "") // This host was removed.
 		return
 	}
-	// Tell followers the new commit index now, so that they apply without waiting for the next heartbeat.
-	r.eachPeer(func(host string, p *progress) {
-		if !p.inFlight {
-			r.heartbeat(host, p)
-		}
-	})
+	r.eachPeer(r.announceCommit)
 }
--- a/lib/replicator/replicator_test.go
+++ b/lib/replicator/replicator_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -283,6 +284,35 @@
 	s.checkRecovery()
 }
 
+// A host with a slow disk is the last to acknowledge a record, and the leader may be busy when it does. Guards against a host
+// that applies the record only at the next heartbeat, and against announcements that answer one another without end.
+func TestLastMemberLearnsOfACommitAtOnce(t *testing.T) {
+	s := newSim(t, 1, 3)
+	s.run(time.Second)
+	s.network = nil
+	leader := s.leader()
+	slow := s.nodes[s.names[0]]
+	if slow == leader {
+		slow = s.nodes[s.names[1]]
+	}
+	for round := range 10 {
+		s.propose()
+		held := s.deliver(slow.name)
+		qt.Assert(t, leader.applied, qt.Equals, uint64(len(s.committed)))
+		qt.Assert(t, slow.applied < leader.applied, qt.IsTrue)
+		overtaken := round%2 == 1 // The records arrive after the announcement.
+		if overtaken {
+			slices.Reverse(held)
+		}
+		s.network = held
+		toLeader := s.deliver(leader.name)
+		qt.Assert(t, slow.applied == leader.applied, qt.Equals, !overtaken)
+		s.network = toLeader
+		s.deliver("")
+		qt.Assert(t, slow.applied, qt.Equals, leader.applied)
+	}
+}
+
 // Guards against a graceful stop after which the group waits for an election timeout.
 func TestHandOver(t *testing.T) {
 	s := newSim(t, 3, 3)
--- a/lib/replicator/sim_test.go
+++ b/lib/replicator/sim_test.go
@@ -282,6 +282,26 @@
 	}
 }
 
+// deliver delivers messages until none is left, while the time stands still. It returns those to one host undelivered.
+func (s *sim) deliver(except string) []envelope {
+	const maxMessages = 100
+	var held []envelope
+	for delivered := 0; len(s.network) > 0; delivered++ {
+		if delivered == maxMessages {
+			s.t.Fatalf("messages do not end: %+v", s.network)
+		}
+		e := s.network[0]
+		s.network = s.network[1:]
+		if e.m.To == except {
+			held = append(held, e)
+			continue
+		}
+		s.nodes[e.m.To].core.Step(s.now, e.m)
+		s.drain(s.nodes[e.m.To])
+	}
+	return held
+}
+
 func (s *sim) leader() *node {
 	var out *node
 	for _, name := range s.names {
