--- a/controld/replica/replica.go
+++ b/controld/replica/replica.go
@@ -58,7 +58,7 @@
 	Election time.Duration
 	// Heartbeat is the interval of the leader's heartbeats.
 	Heartbeat time.Duration
-	// SnapshotInterval is the number of records after which a snapshot is taken.
+	// SnapshotInterval is the number of records after which a snapshot is taken, at the multiples of it. It must not be 0.
 	SnapshotInterval uint64
 	// Clock returns the time.
 	Clock func() time.Time
@@ -272,7 +272,7 @@
 	}
 }
 
-// flush proposes the queued commands, processes the output of the replicator and takes a snapshot if one is due.
+// flush proposes the queued commands and processes the output of the replicator.
 func (r *Replica) flush() {
 	if r.failure != nil {
 		return
@@ -289,16 +289,11 @@
 		}
 	}
 	r.trackLeadership()
-	if r.applied-r.snapshotIndex >= r.config.SnapshotInterval {
-		if err := r.snapshot(); err != nil {
-			r.fail(err)
-			return
-		}
-	}
 	r.publish()
 }
 
-// process makes one output of the replicator durable, then sends its messages and applies its committed records.
+// process makes one output of the replicator durable, then sends its messages, applies its committed records and takes the
+// snapshots that are due.
 func (r *Replica) process(ready replicator.Ready) error {
 	r.send(ready.Unsynced)
 	if err := r.persist(ready); err != nil {
@@ -315,6 +310,12 @@
 	}
 	for _, record := range ready.Committed {
 		r.apply(record)
+		if !r.snapshotDue() {
+			continue
+		}
+		if err := r.snapshot(); err != nil {
+			return err
+		}
 	}
 	r.completeReads(ready.Reads)
 	return nil
@@ -368,6 +369,12 @@
 	return out
 }
 
+// snapshotDue reports whether a multiple of the interval has been applied since the newest snapshot. It is asked after each
+// record, so that all hosts take their snapshots at the same indexes, however many records they apply at a time.
+func (r *Replica) snapshotDue() bool {
+	return r.applied/r.config.SnapshotInterval > r.snapshotIndex/r.config.SnapshotInterval
+}
+
 // snapshot takes a snapshot and removes the records that it covers.
 func (r *Replica) snapshot() error {
 	state, err := r.machine.Snapshot()
