follower: log lists of evacuated data centres that are ignored

Change: event 3027 with the index and list of the message, and the index and list in use. It is logged only if the lists differ.

--- a/fleetd/follower/follower.go
+++ b/fleetd/follower/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,14 +75,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	next := *f.view.Load()
-	changed := false
-	if m.GetIndex() >= f.index {
-		f.index = m.GetIndex()
-		next.Index = m.GetIndex()
-		if e := m.GetEvacuated(); e != nil {
-			changed = f.applyEvacuations(&next, e.GetCenters(), now) || changed
-		}
-	}
+	changed := f.applyIndexed(&next, m, now)
 	if d := m.GetDocument(); d.GetVersion() > next.Version() {
 		f.applyDocument(&next, d.GetBody(), now)
 		f.table = next.Table
@@ -108,6 +102,25 @@
 	}
 }
 
+// applyIndexed applies the part of a message that holds as of its index. It reports whether the evacuated data centres have
+// changed.
+func (f *Follower) applyIndexed(next *View, m *peerv1.FollowResponse, now time.Time) bool {
+	if m.GetIndex() < f.index {
+		if e := m.GetEvacuated(); e != nil && !sameCenters(next.Evacuated, e.GetCenters()) {
+			eventer.EvacuationIgnored.Log(now, "centers", e.GetCenters(), "index", m.GetIndex(), "inuse", slices.Sorted(maps.Keys(next.Evacuated)), "seen", f.index)
+		}
+		return false
+	}
+	f.index, next.Index = m.GetIndex(), m.GetIndex()
+	e := m.GetEvacuated()
+	return e != nil && f.applyEvacuations(next, e.GetCenters(), now)
+}
+
+// sameCenters reports whether a list has the same data centres as a set. The list has no duplicates.
+func sameCenters(set map[string]bool, centers []string) bool {
+	return len(centers) == len(set) && !slices.ContainsFunc(centers, func(c string) bool { return !set[c] })
+}
+
 // applyRollouts adds the rollouts that are newer than the known ones, and reports whether there were any.
 func applyRollouts(next *View, rollouts []*statev1.Rollout, now time.Time) bool {
 	changed := false
@@ -160,14 +173,12 @@
 
 // applyEvacuations sets the evacuated data centres and reports whether they have changed.
 func (f *Follower) applyEvacuations(next *View, centers []string, now time.Time) bool {
-	same := len(centers) == len(next.Evacuated)
+	if sameCenters(next.Evacuated, centers) {
+		return false
+	}
 	out := make(map[string]bool, len(centers))
 	for _, c := range centers {
 		out[c] = true
-		same = same && next.Evacuated[c]
-	}
-	if same {
-		return false
 	}
 	eventer.EvacuationInUse.Log(now, "centers", centers, "index", next.Index)
 	next.Evacuated = out
--- a/lib/eventer/member.go
+++ b/lib/eventer/member.go
@@ -27,6 +27,7 @@
 	HostNoLongerCutOff     = define(3024, Info, "this host is no longer cut off")
 	LeafPaused             = define(3026, Info, "leaf wants no requests from this host for a while")
 	LeafSaysLeaving        = define(3025, Info, "leaf says in an answer that it is leaving")
+	EvacuationIgnored      = define(3027, Warning, "evacuated data centres of an older state ignored")
 	ConfirmationLost       = define(3030, Warning, "state is not confirmed and requests with a key are refused")
 	ConfirmationRegained   = define(3031, Info, "state is confirmed")
 	HeartbeatContradictory = define(3019, Warning, "heartbeat contradicts the leaf's earlier ones and was ignored")
