--- /dev/null
+++ b/controld/replica/disk_test.go
@@ -0,0 +1,220 @@
+package replica_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc"
+
+	"lycheelift.example/controld/replica"
+	"lycheelift.example/lib/journaler"
+	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+)
+
+// operation is a step of writing a file that a full disk may refuse.
+type operation int
+
+const (
+	create operation = iota + 1
+	write
+	rename
+	anyWrite
+)
+
+// fault makes an operation fail on files whose names begin with a prefix, but for the first ones.
+type fault struct {
+	operation operation
+	prefix    string
+	first     int
+}
+
+// disk is a data folder whose disk is full for some operations. It may be used from several goroutines.
+type disk struct {
+	journaler.FileSystem
+
+	mu sync.Mutex
+	// full is the fault; nil while there is room.
+	full *fault
+	// refused counts the operations that were refused since the disk was filled.
+	refused int
+}
+
+func (d *disk) wrap(fs journaler.FileSystem) journaler.FileSystem {
+	d.FileSystem = fs
+	return d
+}
+
+func (d *disk) fill(f fault) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full, d.refused = &f, 0
+}
+
+func (d *disk) free() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.full = nil
+}
+
+func (d *disk) refusals() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.refused
+}
+
+func (d *disk) check(o operation, name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.full == nil || d.full.operation != o && d.full.operation != anyWrite || !strings.HasPrefix(name, d.full.prefix) {
+		return nil
+	}
+	if d.full.first > 0 {
+		d.full.first--
+		return nil
+	}
+	d.refused++
+	return syscall.ENOSPC
+}
+
+// Create opens a file whose writes may be refused.
+func (d *disk) Create(name string) (journaler.File, error) {
+	if err := d.check(create, name); err != nil {
+		return nil, err
+	}
+	f, err := d.FileSystem.Create(name)
+	return &fileOnDisk{File: f, disk: d, name: name}, err
+}
+
+// Rename renames a file.
+func (d *disk) Rename(from, to string) error {
+	if err := d.check(rename, to); err != nil {
+		return err
+	}
+	return d.FileSystem.Rename(from, to)
+}
+
+type fileOnDisk struct {
+	journaler.File
+
+	disk *disk
+	name string
+}
+
+// Write writes half of the data to a full disk.
+func (f *fileOnDisk) Write(data []byte) (int, error) {
+	if err := f.disk.check(write, f.name); err != nil {
+		n, writeErr := f.File.Write(data[:len(data)/2])
+		return n, errors.Join(err, writeErr)
+	}
+	return f.File.Write(data)
+}
+
+// eventually polls a condition until it holds, and fails the test after conditionTimeout.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(conditionTimeout); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("condition not met in time: %s", what)
+}
+
+// A disk is full when a snapshot is due, and has room again soon after. Guards against a host that tries the same snapshot again
+// before it has read its log, fails each time and refuses all changes for good.
+func TestDiskThatIsFullAtASnapshot(t *testing.T) {
+	var d disk
+	machine := &countingMachine{}
+	r, _ := runReplica(t, "a", single(), machine, replica.WithFiles(d.wrap))
+	c := &changer{t: t, replicas: []*replica.Replica{r}}
+	for _, f := range []fault{{create, "snapshot-", 0}, {write, "snapshot-", 0}, {rename, "snapshot-", 0}, {create, "log-", 0}} {
+		d.fill(f)
+		eventually(t, "a snapshot that is refused", func() bool {
+			c.attempt()
+			return d.refusals() > 0
+		})
+		d.free()
+		eventually(t, "changes while the disk has room", c.attempt)
+	}
+}
+
+// changer proposes changes to the hosts of a group in turn.
+type changer struct {
+	t        *testing.T
+	replicas []*replica.Replica
+	count    int
+}
+
+// attempt proposes a change to the next host and reports whether it was accepted.
+func (c *changer) attempt() bool {
+	c.count++
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return propose(ctx, c.replicas[c.count%len(c.replicas)], c.count) == nil
+}
+
+// change proposes changes until one is accepted.
+func (c *changer) change() {
+	c.t.Helper()
+	eventually(c.t, "a change that is accepted", c.attempt)
+}
+
+// The disks of all control hosts are full for a moment, one after another, never two at once. Guards against hosts that refuse
+// changes or do not answer them after the last disk has room again, while all processes run.
+func TestDisksThatAreFullOneAfterAnother(t *testing.T) {
+	const hosts = 3
+	disks, machines := make([]disk, hosts), make([]*countingMachine, hosts)
+	c := &changer{t: t}
+	listeners, members := listen(t, "a", "b", "c")
+	for i, m := range members {
+		machines[i] = &countingMachine{}
+		r, _ := runReplica(t, m.Host, members, machines[i], replica.WithFiles(disks[i].wrap))
+		server := grpc.NewServer()
+		peerv1.RegisterReplicaServiceServer(server, r.Service())
+		go func() { _ = server.Serve(listeners[i]) }()
+		t.Cleanup(server.Stop)
+		c.replicas = append(c.replicas, r)
+	}
+	c.change()
+	for _, f := range []fault{{anyWrite, "", 0}, {write, "snapshot-", 0}, {rename, "snapshot-", 0}, {create, "log-", 0}} {
+		for i := range disks {
+			disks[i].fill(f)
+			for changes := 0; disks[i].refusals() == 0 || changes < 2*snapshotInterval; changes++ {
+				c.change()
+			}
+			disks[i].free()
+		}
+	}
+	for range 3 * snapshotInterval {
+		c.change()
+	}
+	eventually(t, "all hosts at the same index", func() bool {
+		first, last := machines[0].lastApplied(), c.replicas[0].Status().Last
+		for i, r := range c.replicas {
+			if s := r.Status(); s.Failure != nil || s.Applied != last || machines[i].lastApplied() != first {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// listen opens a listener for each host of a group.
+func listen(t *testing.T, hosts ...string) ([]net.Listener, []replica.Peer) {
+	var listeners []net.Listener
+	var members []replica.Peer
+	for _, host := range hosts {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = l.Close() })
+		listeners, members = append(listeners, l), append(members, replica.Peer{Host: host, Address: l.Addr().String()})
+	}
+	return listeners, members
+}
--- a/controld/replica/replica.go
+++ b/controld/replica/replica.go
@@ -105,6 +105,8 @@
 	config  Config
 	machine Machine
 	folder  *journaler.Folder
+	// files is the folder, or what WithFiles has put in its place.
+	files   journaler.FileSystem
 	journal *journaler.Journal
 	core    *replicator.Replicator
 	dialer  *dialer
@@ -128,20 +130,32 @@
 	leading       bool
 }
 
+// Option configures a replica.
+type Option func(*Replica)
+
+// WithFiles wraps the access to the files of the data folder, for example to inject faults.
+func WithFiles(wrap func(journaler.FileSystem) journaler.FileSystem) Option {
+	return func(r *Replica) { r.files = wrap(r.files) }
+}
+
 // Open locks the data folder, reads the log and restores the machine. An empty folder gets a new incarnation.
-func Open(c Config, path string, machine Machine) (*Replica, error) {
+func Open(c Config, path string, machine Machine, options ...Option) (*Replica, error) {
 	folder, err := journaler.OpenFolder(path)
 	if err != nil {
 		return nil, err
 	}
 	r := &Replica{
-		config: c, machine: machine, folder: folder, dialer: newDialer(c.Dial),
+		config: c, machine: machine, folder: folder, files: folder, dialer: newDialer(c.Dial),
 		events: make(chan func(), queueLength), stopped: make(chan struct{}),
 		pending: make(map[uint64]proposal), startedReads: make(map[uint64]*readRequest), responses: make(map[uint64]chan replicator.Message),
 	}
+	for _, o := range options {
+		o(r)
+	}
 	if err := r.load(); err != nil {
 		return nil, errors.Join(err, folder.Close())
 	}
+	r.publish()
 	return r, nil
 }
 
@@ -157,13 +171,12 @@
 		}
 		r.applied = s.GetIndex()
 	}
-	r.publish()
 	return nil
 }
 
 // open reads the files and creates a replicator with their state.
 func (r *Replica) open() (*journaler.Content, error) {
-	journal, content, err := journaler.Open(r.folder)
+	journal, content, err := journaler.Open(r.files)
 	if err != nil {
 		return nil, oops.In("replica").Wrapf(err, "open the log")
 	}
@@ -308,7 +321,20 @@
 		r.applied, r.snapshotIndex = s.GetIndex(), s.GetIndex()
 		eventer.SnapshotReceived.Log(r.config.Clock(), "index", s.GetIndex())
 	}
-	for _, record := range ready.Committed {
+	if err := r.applyCommitted(ready.Committed); err != nil {
+		return err
+	}
+	r.completeReads(ready.Reads)
+	return nil
+}
+
+// applyCommitted applies the committed records that the machine has not applied yet and takes the snapshots that are due. After
+// the log was reopened the machine may be ahead of it; a snapshot is then due only once the log has caught up.
+func (r *Replica) applyCommitted(records []*statev1.Record) error {
+	for _, record := range records {
+		if record.GetIndex() <= r.applied {
+			continue
+		}
 		r.apply(record)
 		if !r.snapshotDue() {
 			continue
@@ -317,7 +343,6 @@
 			return err
 		}
 	}
-	r.completeReads(ready.Reads)
 	return nil
 }
 
@@ -337,9 +362,6 @@
 
 // apply applies a committed record to the machine and returns its result to the proposer.
 func (r *Replica) apply(record *statev1.Record) {
-	if record.GetIndex() <= r.applied {
-		return // The log was reopened; the machine has already applied this record.
-	}
 	if record.GetIndex() != r.applied+1 {
 		r.reportViolation(fmt.Sprintf("record %d applied out of order, after record %d", record.GetIndex(), r.applied))
 		return
--- a/controld/replica/snapshot_test.go
+++ b/controld/replica/snapshot_test.go
@@ -15,51 +15,82 @@
 
 // countingMachine notes the index of the last command that each snapshot includes.
 type countingMachine struct {
+	mu        sync.Mutex
 	applied   uint64
 	snapshots []uint64
 }
 
 func (m *countingMachine) Apply(index uint64, _ *statev1.Command) *statev1.Result {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.applied = index
 	return &statev1.Result{}
 }
 
 func (m *countingMachine) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.snapshots = append(m.snapshots, m.applied)
 	return nil, nil
 }
 
 func (m *countingMachine) Restore(index uint64, _ []byte) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.applied = index
 	return nil
 }
 
-// Guards against hosts with snapshots at different indexes, because one of them has applied several records at once.
-func TestSnapshotsAreTakenAtTheSameIndexes(t *testing.T) {
-	const interval, commands = 8, 100
-	machine := &countingMachine{}
-	self := replica.Peer{Host: "a", Address: "127.0.0.1:1"}
+func (m *countingMachine) lastApplied() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.applied
+}
+
+const snapshotInterval = 8
+
+// runReplica runs a replica of a group in this process until the test ends. It returns the replica, and a function that stops
+// it.
+func runReplica(t *testing.T, host string, members []replica.Peer, machine replica.Machine, options ...replica.Option) (*replica.Replica, func()) {
 	r, err := replica.Open(replica.Config{
-		Host: self.Host, Address: self.Address, Members: []replica.Peer{self}, Election: time.Second, Heartbeat: 100 * time.Millisecond,
-		SnapshotInterval: interval, Clock: time.Now,
-	}, t.TempDir(), machine)
+		Host: host, Members: members, Election: 300 * time.Millisecond, Heartbeat: 50 * time.Millisecond, SnapshotInterval: snapshotInterval, Clock: time.Now,
+	}, t.TempDir(), machine, options...)
 	qt.Assert(t, err, qt.IsNil)
-	ctx, stop := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- r.Run(ctx) }()
+	stop := sync.OnceFunc(func() {
+		cancel()
+		qt.Check(t, <-done, qt.IsNil)
+	})
+	t.Cleanup(stop)
+	return r, stop
+}
+
+// single is a group of one host.
+func single() []replica.Peer {
+	return []replica.Peer{{Host: "a", Address: "127.0.0.1:1"}}
+}
+
+func propose(ctx context.Context, r *replica.Replica, id int) error {
+	begin := &statev1.Begin{Tenant: "galati", Key: fmt.Sprint("key-", id)}
+	_, err := r.Propose(ctx, &statev1.Command{Kind: &statev1.Command_Begin{Begin: begin}})
+	return err
+}
+
+// Guards against hosts with snapshots at different indexes, because one of them has applied several records at once.
+func TestSnapshotsAreTakenAtTheSameIndexes(t *testing.T) {
+	const commands = 100
+	machine := &countingMachine{}
+	r, stop := runReplica(t, "a", single(), machine)
 	var all sync.WaitGroup
 	for i := range commands {
-		all.Go(func() {
-			begin := &statev1.Begin{Tenant: "galati", Key: fmt.Sprint("key-", i)}
-			_, err := r.Propose(ctx, &statev1.Command{Kind: &statev1.Command_Begin{Begin: begin}})
-			qt.Check(t, err, qt.IsNil)
-		})
+		all.Go(func() { qt.Check(t, propose(context.Background(), r, i), qt.IsNil) })
 	}
 	all.Wait()
 	stop()
-	qt.Assert(t, <-done, qt.IsNil)
-	qt.Assert(t, len(machine.snapshots) >= commands/interval, qt.IsTrue, qt.Commentf("%v", machine.snapshots))
+	qt.Assert(t, len(machine.snapshots) >= commands/snapshotInterval, qt.IsTrue, qt.Commentf("%v", machine.snapshots))
 	for i, index := range machine.snapshots {
-		qt.Check(t, index, qt.Equals, uint64(i+1)*interval)
+		qt.Check(t, index, qt.Equals, uint64(i+1)*snapshotInterval)
 	}
 }
