--- a/controld/replica/disk_test.go
+++ b/controld/replica/disk_test.go
@@ -12,10 +12,12 @@
 
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"lycheelift.example/controld/replica"
 	"lycheelift.example/lib/journaler"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // operation is a step of writing a file that a full disk may refuse.
@@ -218,3 +220,33 @@
 	}
 	return listeners, members
 }
+
+// A host that lags behind gets a snapshot from the leader. Its disk becomes full when the snapshot is durable, but not yet taken
+// over. Guards against a host that opens the log behind the snapshot and then refuses each record as out of order for good.
+func TestDiskThatIsFullWhileASnapshotIsInstalled(t *testing.T) {
+	var d disk
+	machine := &countingMachine{}
+	members := []replica.Peer{{Host: "a", Address: "127.0.0.1:1"}, {Host: "b", Address: "127.0.0.1:2"}, {Host: "c", Address: "127.0.0.1:3"}}
+	r, _ := runReplica(t, "b", members, machine, replica.WithFiles(d.wrap))
+	service, ctx := r.Service(), context.Background()
+	target := r.Status().Incarnation
+	state := &statev1.Members{Replicas: []*statev1.Replica{{Host: "a", Incarnation: 1}, {Host: "b", Incarnation: target}, {Host: "c", Incarnation: 3}}}
+	data, err := proto.Marshal(&statev1.Snapshot{Index: 20, Term: 2, Members: state})
+	qt.Assert(t, err, qt.IsNil)
+	d.fill(fault{create, "log-", 0})
+	_, err = service.Install(ctx, &peerv1.InstallRequest{
+		Leader: "a", Receiver: "b", Incarnation: 1, Target: target, Term: 3, Index: 20, Tail: 2, Data: data, Done: true,
+	})
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, d.refusals() > 0, qt.IsTrue)
+	d.free()
+	record := &statev1.Record{Index: 21, Term: 3, Command: &statev1.Command{Kind: &statev1.Command_Begin{Begin: &statev1.Begin{Key: "k"}}}}
+	eventually(t, "the records behind the snapshot", func() bool {
+		_, _ = service.Append(ctx, &peerv1.AppendRequest{
+			Leader: "a", Receiver: "b", Incarnation: 1, Target: target, Term: 3, Previous: 20, Tail: 2, Commit: 21, Records: []*statev1.Record{record},
+		})
+		return r.Status().Failure == nil && r.Status().Commit == 21
+	})
+	qt.Assert(t, r.Status().Applied, qt.Equals, uint64(21))
+	qt.Assert(t, machine.lastApplied(), qt.Equals, uint64(21))
+}
--- a/controld/replica/replica.go
+++ b/controld/replica/replica.go
@@ -159,13 +159,13 @@
 	return r, nil
 }
 
-// load opens the log and restores the machine.
+// load opens the log, and restores the machine if the snapshot in the files includes more than the machine has applied.
 func (r *Replica) load() error {
 	content, err := r.open()
 	if err != nil {
 		return err
 	}
-	if s := content.Snapshot; s != nil {
+	if s := content.Snapshot; s.GetIndex() > r.applied {
 		if err := r.machine.Restore(s.GetIndex(), s.GetState()); err != nil {
 			return oops.In("replica").Wrapf(err, "restore the snapshot")
 		}
@@ -204,11 +204,11 @@
 	return content, nil
 }
 
-// reopen reloads the files after a failed write, as a restart would, once the disk accepts writes again. The machine
-// keeps its state: it contains only committed commands, which the leader resends if the files lack them.
+// reopen reloads the files after a failed write, as a restart would, once the disk accepts writes again. A machine that is
+// ahead of them keeps its state: it contains only committed commands, which the leader resends if the files lack them.
 func (r *Replica) reopen() {
 	_ = r.journal.Close() // The write failure has already been reported.
-	if _, err := r.open(); err != nil {
+	if err := r.load(); err != nil {
 		eventer.LogReopenFailed.Log(r.config.Clock(), "error", err.Error())
 		return
 	}
