replica: create the group after a failed first write

Cause: the host that creates a group stores term 1 and then the first record. If the disk refused the write of the record, the host had a term and no record: it no longer counted as blank, nobody counted it as such, and no group was ever created. If the disk refused the write of the term, the loop that creates the group saw the term in memory, which the reopened log no longer had, and ended.

Change: a replica without a record and a vote is blank in term 1 too, since no replica leads or votes in that term and nobody has received the record. The loop does not judge by the state in memory after a failed write.

TestRandomFaults and the rest of the replicator's tests pass.

--- a/controld/replica/bootstrap.go
+++ b/controld/replica/bootstrap.go
@@ -24,7 +24,7 @@
 	ticker := time.NewTicker(bootstrapInterval)
 	defer ticker.Stop()
 	for attempt := 1; ; attempt++ {
-		if r.Status().Term > 0 || r.Status().Last > 0 {
+		if s := r.Status(); s.Failure == nil && !s.Blank {
 			return
 		}
 		if m := r.initialMembers(ctx); m != nil {
--- a/controld/replica/disk_test.go
+++ b/controld/replica/disk_test.go
@@ -147,6 +147,22 @@
 	}
 }
 
+// The disk of the host that creates a group is full when it writes the first record. Guards against a group that is never
+// created, because the host no longer counts as blank or no longer tries.
+func TestDiskThatIsFullAtTheBootstrap(t *testing.T) {
+	// The first write of the hard state stores the incarnation.
+	for _, f := range []fault{{create, "state", 1}, {rename, "state", 1}, {create, "log-", 0}, {write, "log-", 0}} {
+		var d disk
+		d.fill(f)
+		r, stop := runReplica(t, "a", single(), &countingMachine{}, replica.WithFiles(d.wrap))
+		eventually(t, "a refused write", func() bool { return d.refusals() > 0 })
+		d.free()
+		c := &changer{t: t, replicas: []*replica.Replica{r}}
+		c.change()
+		stop()
+	}
+}
+
 // changer proposes changes to the hosts of a group in turn.
 type changer struct {
 	t        *testing.T
--- a/controld/replica/status.go
+++ b/controld/replica/status.go
@@ -20,6 +20,8 @@
 	Applied uint64
 	Last    uint64
 	Members *statev1.Members
+	// Blank is true if the data folder contains neither a vote nor a record. It is unreliable while Failure is set.
+	Blank bool
 	// LastLeaderContact is the time of the last message from a leader, by the clock of this host; on the leader, the last
 	// time at which it had contact with a majority.
 	LastLeaderContact time.Time
@@ -41,7 +43,7 @@
 	s := r.core.Status()
 	r.status.Store(&Status{
 		Host: r.config.Host, Incarnation: s.Incarnation, Leader: s.Leader, Leading: s.Role == replicator.Leader && r.failure == nil,
-		Term: s.Term, Commit: s.Commit, Applied: r.applied, Last: s.Last, Members: s.Members, LastLeaderContact: s.LastContact, Failure: r.failure,
+		Term: s.Term, Commit: s.Commit, Applied: r.applied, Last: s.Last, Members: s.Members, Blank: s.Blank, LastLeaderContact: s.LastContact, Failure: r.failure,
 		LastMajority: s.LastMajority, Current: s.Current && r.applied >= s.Commit,
 	})
 }
--- a/lib/replicator/members.go
+++ b/lib/replicator/members.go
@@ -83,9 +83,13 @@
 	return count > voters/2
 }
 
-// Blank reports whether this replica's data folder contains neither a vote nor a record.
+// bootstrapTerm is the term of the first record of a group. No replica leads or votes in it.
+const bootstrapTerm = 1
+
+// Blank reports whether this replica's data folder contains neither a vote nor a record. It may contain the term of a first
+// record that could not be written; nobody has received that record.
 func (r *Replicator) Blank() bool {
-	return r.state.GetTerm() == 0 && r.log.last() == 0
+	return r.state.GetTerm() <= bootstrapTerm && r.state.GetVote() == "" && r.log.last() == 0
 }
 
 // Bootstrap bootstraps a new group by writing its first record. It must be called on one host only, after every initial
@@ -95,7 +99,7 @@
 	if !r.invariant(r.Blank(), "a group is bootstrapped on a replica that is not blank") {
 		return
 	}
-	r.state.Term = 1
+	r.state.Term = bootstrapTerm
 	r.stateChanged = true
 	r.appendCommand(now, &statev1.Command{Kind: &statev1.Command_Members{Members: m}})
 	r.electionAt = now
--- a/lib/replicator/status.go
+++ b/lib/replicator/status.go
@@ -16,6 +16,8 @@
 	Last        uint64
 	Members     *statev1.Members
 	Voter       bool
+	// Blank is true if the data folder contains neither a vote nor a record.
+	Blank bool
 	// LastContact is the time of the last message from a leader. On the leader, it is the last time a majority was
 	// reachable.
 	LastContact time.Time
@@ -31,7 +33,8 @@
 func (r *Replicator) Status() Status {
 	out := Status{
 		Role: r.role, Leader: r.leader, Term: r.state.GetTerm(), Incarnation: r.state.GetIncarnation(),
-		Commit: r.commit, Last: r.log.last(), Members: r.members(), Voter: r.voter(), LastContact: r.lastLeaderContact,
+		Commit: r.commit, Last: r.log.last(), Members: r.members(), Voter: r.voter(), Blank: r.Blank(),
+		LastContact: r.lastLeaderContact,
 	}
 	if r.role == Leader {
 		out.Current = r.commit >= r.termStart
