--- a/fleetd/exchanger/meter_test.go
+++ b/fleetd/exchanger/meter_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -75,6 +76,10 @@
 
 // floods are answers that never end, by the position of the repeated bytes.
 var floods = map[string]struct{ begin, repeat string }{
+	"no answer":        {"", "x"},
+	"no answer, lines": {"", "x\n"},
+	"empty lines":      {"", "\r\n"},
+	"zero bytes":       {"", "\x00"},
 	"head lines":       {"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n", "X-More: more\r\n"},
 	"one head line":    {"HTTP/1.1 200 OK\r\nX-More: ", "x"},
 	"status line":      {"HTTP/1.1 200 ", "x"},
@@ -129,6 +134,59 @@
 	}
 }
 
+// shortFields returns head fields with short names and empty values. A decoded field takes many times its bytes.
+func shortFields(name func(i int) string) []byte {
+	var out bytes.Buffer
+	for i := range 1 << 14 {
+		fmt.Fprintf(&out, "%s:\n", name(i))
+	}
+	return out.Bytes()
+}
+
+// Load: a hundred faulty leaves at once, each of which sends short head fields without end. Guards against a host whose memory
+// is used up by decoded fields although few bytes have arrived.
+func TestEndlessHeadFieldsTakeLittleMemory(t *testing.T) {
+	const leaves, maxBytes = 100, 256 << 10 // per answer
+	for name, fields := range map[string][]byte{
+		"one name":       shortFields(func(int) string { return "X" }),
+		"distinct names": shortFields(func(i int) string { return strconv.FormatInt(int64(i), 36) }),
+	} {
+		var open heldBytes
+		e := exchanger.New(platform.Leaf{}, time.Now, exchanger.WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
+			return &endless{begin: strings.NewReader("HTTP/1.1 200 OK\r\n"), repeat: fields, heldBytes: &open}, nil
+		}))
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		var all sync.WaitGroup
+		for i := range leaves {
+			all.Go(func() {
+				_, err := e.Do(context.Background(), floodCall(i, 1<<20))
+				qt.Check(t, err, qt.ErrorIs, exchanger.ErrTooLong, qt.Commentf(name))
+				qt.Check(t, err, qt.ErrorIs, exchanger.ErrInvalidAnswer, qt.Commentf(name))
+			})
+		}
+		all.Wait()
+		runtime.ReadMemStats(&after)
+		allocated := (after.TotalAlloc - before.TotalAlloc) / leaves
+		qt.Check(t, allocated < maxBytes, qt.IsTrue, qt.Commentf("%s: %d bytes were allocated for each answer", name, allocated))
+	}
+}
+
+// Guards against a body that is taken for further lines of the head, and so for a head that is too long.
+func TestLinesOfABodyAreNoHead(t *testing.T) {
+	var open heldBytes
+	body := strings.Repeat("\n", 1<<20)
+	for _, head := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+		e := exchanger.New(platform.Leaf{}, time.Now, exchanger.WithDial(func(context.Context, netip.AddrPort) (net.Conn, error) {
+			one := fmt.Sprintf("%sHTTP/1.1 200 OK\r\nServer-Stamp: s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+			return &endless{begin: strings.NewReader(one), repeat: []byte("x"), heldBytes: &open}, nil
+		}))
+		answer, err := e.Do(context.Background(), floodCall(1, int64(len(body))))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, len(answer.Body), qt.Equals, len(body))
+	}
+}
+
 func floodCall(i int, body int64) *carrier.Call {
 	id := fmt.Sprint(i)
 	return &carrier.Call{
