replicator: elect a leader on disks that store votes slowly

No leader was ever elected (no event 4005).

Cause: a host that has heard no leader since its start waits a third of the election timeout, 167 to 333 ms, from the moment at which it begins an election. A vote takes two syncs at the candidate and two at the voter. Where these take longer, each candidate began anew before its votes were back, without end.

Change: only the first such election uses the shorter timeout.

Evidence: TestSlowDisksElectALeader (60 ms a sync at an election timeout of 300 ms) failed before within 25 s. The replicator's randomised tests with -soak pass.

--- a/controld/replica/disk_test.go
+++ b/controld/replica/disk_test.go
@@ -46,6 +46,8 @@
 	full *fault
 	// refused counts the operations that were refused since the disk was filled.
 	refused int
+	// syncTime is how long each sync takes. It does not change.
+	syncTime time.Duration
 }
 
 func (d *disk) wrap(fs journaler.FileSystem) journaler.FileSystem {
@@ -94,6 +96,12 @@
 	return &fileOnDisk{File: f, disk: d, name: name}, err
 }
 
+// Sync syncs the folder.
+func (d *disk) Sync() error {
+	time.Sleep(d.syncTime)
+	return d.FileSystem.Sync()
+}
+
 // Rename renames a file.
 func (d *disk) Rename(from, to string) error {
 	if err := d.check(rename, to); err != nil {
@@ -118,6 +126,12 @@
 	return f.File.Write(data)
 }
 
+// Sync syncs the file.
+func (f *fileOnDisk) Sync() error {
+	time.Sleep(f.disk.syncTime)
+	return f.File.Sync()
+}
+
 // eventually polls a condition until it holds, and fails the test after conditionTimeout.
 func eventually(t *testing.T, what string, condition func() bool) {
 	t.Helper()
@@ -163,6 +177,9 @@
 	}
 }
 
+// hosts is the size of a group.
+const hosts = 3
+
 // changer proposes changes to the hosts of a group in turn.
 type changer struct {
 	t        *testing.T
@@ -187,19 +204,8 @@
 // The disks of all control hosts are full for a moment, one after another, never two at once. Guards against hosts that refuse
 // changes or do not answer them after the last disk has room again, while all processes run.
 func TestDisksThatAreFullOneAfterAnother(t *testing.T) {
-	const hosts = 3
 	disks, machines := make([]disk, hosts), make([]*countingMachine, hosts)
-	c := &changer{t: t}
-	listeners, members := listen(t, "a", "b", "c")
-	for i, m := range members {
-		machines[i] = &countingMachine{}
-		r, _ := runReplica(t, m.Host, members, machines[i], replica.WithFiles(disks[i].wrap))
-		server := grpc.NewServer()
-		peerv1.RegisterReplicaServiceServer(server, r.Service())
-		go func() { _ = server.Serve(listeners[i]) }()
-		t.Cleanup(server.Stop)
-		c.replicas = append(c.replicas, r)
-	}
+	c := &changer{t: t, replicas: runGroup(t, disks, machines)}
 	c.change()
 	for _, f := range []fault{{anyWrite, "", 0}, {write, "snapshot-", 0}, {rename, "snapshot-", 0}, {create, "log-", 0}} {
 		for i := range disks {
@@ -224,6 +230,33 @@
 	})
 }
 
+// runGroup runs a group of replicas with the given disks and stores their machines.
+func runGroup(t *testing.T, disks []disk, machines []*countingMachine) []*replica.Replica {
+	var out []*replica.Replica
+	listeners, members := listen(t, "a", "b", "c")
+	for i, m := range members {
+		machines[i] = &countingMachine{}
+		r, _ := runReplica(t, m.Host, members, machines[i], replica.WithFiles(disks[i].wrap))
+		server := grpc.NewServer()
+		peerv1.RegisterReplicaServiceServer(server, r.Service())
+		go func() { _ = server.Serve(listeners[i]) }()
+		t.Cleanup(server.Stop)
+		out = append(out, r)
+	}
+	return out
+}
+
+// All disks need longer to store a vote than a host without a leader first waits for one. Guards against a group that never elects
+// a leader, because each candidate gives up before the votes for it are stored.
+func TestSlowDisksElectALeader(t *testing.T) {
+	disks := make([]disk, hosts)
+	for i := range disks {
+		disks[i].syncTime = electionTimeout / 5
+	}
+	c := &changer{t: t, replicas: runGroup(t, disks, make([]*countingMachine, hosts))}
+	c.change()
+}
+
 // listen opens a listener for each host of a group.
 func listen(t *testing.T, hosts ...string) ([]net.Listener, []replica.Peer) {
 	var listeners []net.Listener
--- a/controld/replica/snapshot_test.go
+++ b/controld/replica/snapshot_test.go
@@ -47,13 +47,16 @@
 	return m.applied
 }
 
-const snapshotInterval = 8
+const (
+	snapshotInterval = 8
+	electionTimeout  = 300 * time.Millisecond
+)
 
 // runReplica runs a replica of a group in this process until the test ends. It returns the replica, and a function that stops
 // it.
 func runReplica(t *testing.T, host string, members []replica.Peer, machine replica.Machine, options ...replica.Option) (*replica.Replica, func()) {
 	r, err := replica.Open(replica.Config{
-		Host: host, Members: members, Election: 300 * time.Millisecond, Heartbeat: 50 * time.Millisecond, SnapshotInterval: snapshotInterval, Clock: time.Now,
+		Host: host, Members: members, Election: electionTimeout, Heartbeat: 50 * time.Millisecond, SnapshotInterval: snapshotInterval, Clock: time.Now,
 	}, t.TempDir(), machine, options...)
 	qt.Assert(t, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/lib/replicator/election.go
+++ b/lib/replicator/election.go
@@ -5,6 +5,9 @@
 // campaign requests pre-votes or votes from the other voters. A forced campaign is one that the leader requested to
 // hand over leadership.
 func (r *Replicator) campaign(now time.Time, pre, forced bool) {
+	if !pre {
+		r.elections++
+	}
 	r.resetElection(now)
 	r.leader = ""
 	r.role = PreCandidate
--- a/lib/replicator/replicator.go
+++ b/lib/replicator/replicator.go
@@ -45,6 +45,9 @@
 	// initialElectionDivisor divides the election timeout of a replica that has had no contact with a leader since its
 	// start.
 	initialElectionDivisor = 3
+	// maxQuickElections is the number of elections of such a replica after which its timeout is no longer divided. The divided
+	// timeout may be shorter than a slow disk needs to store the votes.
+	maxQuickElections = 1
 	// defaultChunk is the size of a snapshot chunk in bytes; it stays below gRPC's message limit of 4 MiB.
 	defaultChunk = 1 << 20
 )
@@ -139,6 +142,7 @@
 	lastLeaderContact time.Time // of the last contact with a leader, or on the leader with a majority
 	electionAt        time.Time
 	votes             map[string]bool
+	elections         int // elections that this replica has begun since its start
 
 	progress         map[string]*progress
 	termStart        uint64 // index of the leader's first record of its term
@@ -319,12 +323,12 @@
 	r.resetElection(now)
 }
 
-// resetElection draws the time of the next election. A replica that has had no contact with a leader since its start
-// uses a fraction of the election timeout: after all hosts were lost there is no leader to disturb, and an existing
-// leader is protected by the pre-vote.
+// resetElection draws the time of the next election. A replica that has had no contact with a leader since its start at first
+// uses a fraction of the election timeout: after all hosts were lost there is no leader to disturb, and an existing leader is
+// protected by the pre-vote.
 func (r *Replicator) resetElection(now time.Time) {
 	timeout := r.config.Election
-	if r.lastLeaderContact.IsZero() {
+	if r.lastLeaderContact.IsZero() && r.elections <= maxQuickElections {
 		timeout /= initialElectionDivisor
 	}
 	r.electionAt = now.Add(timeout + time.Duration(r.random.Int64N(int64(timeout))))
