executor: let two calls meet in TestSlotsSeenByTheLeaf

The allowance was not reduced (no event 2004 in the failed runs). The test starts 60 calls in the order short, exclusive, plain. Once the short ones have timed out in the queue, an exclusive call stands between any two plain ones, so that no two calls may overlap. So the test asked for something that the order of its calls did not bring about.

Change: two calls that wait for each other come first, so both slots must be in use at one time. All assertions are as before.

--- a/entryd/executor/executor_test.go
+++ b/entryd/executor/executor_test.go
@@ -55,6 +55,8 @@
 	overlapped        bool
 	epoch             uint64
 	calls             int
+	// pair is where two calls that run at the same time meet.
+	pair chan struct{}
 }
 
 func (s *server) Execute(ctx context.Context, in *backendv1.ExecuteRequest) (*backendv1.ExecuteResponse, error) {
@@ -67,6 +69,9 @@
 	s.exclusive = s.exclusive || body == "alone"
 	s.overlapped = s.overlapped || s.exclusive && s.active > 1
 	s.mu.Unlock()
+	if body == "pair" {
+		s.meet(ctx)
+	}
 	select {
 	case <-time.After(map[string]time.Duration{"slow": 300 * time.Millisecond}[body] + time.Millisecond):
 	case <-ctx.Done():
@@ -89,6 +94,15 @@
 	return out, nil
 }
 
+// meet returns when another call has come here, or when ctx ends.
+func (s *server) meet(ctx context.Context) {
+	select {
+	case s.pair <- struct{}{}:
+	case <-s.pair:
+	case <-ctx.Done():
+	}
+}
+
 type fixture struct {
 	*executor.Executor
 
@@ -100,7 +114,7 @@
 }
 
 func newFixture(t *testing.T) *fixture {
-	f := &fixture{leases: &fakeLeases{}, server: &server{}, table: cataloguer.New(time.Now()), follow: follower.New(time.Now())}
+	f := &fixture{leases: &fakeLeases{}, server: &server{pair: make(chan struct{})}, table: cataloguer.New(time.Now()), follow: follower.New(time.Now())}
 	mux := http.NewServeMux()
 	mux.Handle(backendv1connect.NewLeafServiceHandler(f.server))
 	backend := httptest.NewUnstartedServer(mux)
@@ -191,7 +205,15 @@
 	for range 20 {
 		c.Assert(f.call("x", time.Minute).GetReason(), qt.Equals, callerv1.Reason_REASON_UNSPECIFIED)
 	}
+	// Two calls that wait for each other need both slots. The calls below may run one by one: an exclusive call stands between any
+	// two that may overlap once the short ones have timed out.
 	var wait sync.WaitGroup
+	for range 2 {
+		wait.Go(func() {
+			c.Check(f.call("pair", time.Minute).GetReason(), qt.Equals, callerv1.Reason_REASON_UNSPECIFIED)
+		})
+	}
+	wait.Wait()
 	for i := range 60 {
 		wait.Add(1)
 		go func() {
