linker: keep the connection of Confirmer in a Link

Cause: Confirmer had its own copy of what Link does: one connection that is opened again and replaced when the address changes. Change: Confirmer holds a Link and only counts the calls that were not answered.

--- a/fleetd/linker/confirm.go
+++ b/fleetd/linker/confirm.go
@@ -3,32 +3,26 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/samber/oops"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
 
-const (
-	// reconnectDelay and maxReconnectDelay are the waits before a lost connection of a Confirmer is opened again.
-	reconnectDelay    = 50 * time.Millisecond
-	maxReconnectDelay = 400 * time.Millisecond
-	// maxTimeouts is the number of calls in a row without an answer after which a connection is replaced. One may be late
-	// because the control host is looking for a leader.
-	maxTimeouts = 2
-)
+// maxTimeouts is the number of calls in a row without an answer after which a connection is replaced. One may be late because the
+// control host is looking for a leader.
+const maxTimeouts = 2
 
 // Confirmer keeps one connection to a control host, on which a host has its state confirmed. It is safe for concurrent use.
 type Confirmer struct {
-	mu      sync.Mutex
-	address string
-	conn    *grpc.ClientConn
-	// timeouts is the number of calls on the connection that were not answered in time since the last answer.
+	link Link
+
+	mu sync.Mutex
+	// conn is the connection to which timeouts refers: the number of calls that were not answered in time since the last answer.
+	conn     *grpc.ClientConn
 	timeouts int
 }
 
@@ -38,7 +32,7 @@
 func (c *Confirmer) Confirm(ctx context.Context, address string, urgent bool) (*peerv1.ConfirmResponse, error) {
 	conn, err := c.connect(address)
 	if err != nil {
-		return nil, oops.In("linker").Wrapf(err, "connect to %s", address)
+		return nil, err
 	}
 	out, err := peerv1.NewFollowServiceClient(conn).Confirm(ctx, &peerv1.ConfirmRequest{Urgent: urgent})
 	c.check(conn, status.Code(err) == codes.DeadlineExceeded)
@@ -48,16 +42,9 @@
 func (c *Confirmer) connect(address string) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conn != nil && c.address == address {
-		return c.conn, nil
-	}
-	c.close()
-	dial, _ := Options()
-	delays := backoff.DefaultConfig
-	delays.BaseDelay, delays.MaxDelay = reconnectDelay, maxReconnectDelay
-	conn, err := grpc.NewClient("passthrough:///"+address, append(dial, grpc.WithConnectParams(grpc.ConnectParams{Backoff: delays, MinConnectTimeout: dialTimeout}))...)
-	if err == nil {
-		c.address, c.conn = address, conn
+	conn, err := c.link.Dial(address)
+	if conn != c.conn {
+		c.conn, c.timeouts = conn, 0
 	}
 	return conn, err
 }
@@ -72,22 +59,13 @@
 		c.timeouts = 0
 	default:
 		if c.timeouts++; c.timeouts >= maxTimeouts {
-			c.close()
+			c.link.Close()
+			c.conn = nil
 		}
 	}
 }
 
 // Close closes the connection.
 func (c *Confirmer) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.close()
-}
-
-// close closes the connection. The caller must hold c.mu.
-func (c *Confirmer) close() {
-	if c.conn != nil {
-		_ = c.conn.Close()
-		c.conn, c.timeouts = nil, 0
-	}
+	c.link.Close()
 }
