keeper: decode each configuration once for heartbeats and rollouts

Cause: the services of the configuration were kept twice in a control host, as a table for heartbeats and as a set for rollouts, each with its own decoding; a configuration that could not be decoded left no line. store had two functions for the document in force. Change: tableOf serves both and logs event 3006 if it cannot decode. CurrentDocument is gone, Current stays. Result: the tests of keeper, store and server pass.

--- a/controld/store/rollout.go
+++ b/controld/store/rollout.go
@@ -76,10 +76,3 @@
 	defer s.machine.mu.RUnlock()
 	return s.machine.evacuatedCenters()
 }
-
-// CurrentDocument returns the document in force in the local state, or nil. It works without a majority.
-func (s *Store) CurrentDocument() *statev1.Document {
-	s.machine.mu.RLock()
-	defer s.machine.mu.RUnlock()
-	return s.machine.documents.Current()
-}
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -95,7 +95,7 @@
 type Option func(*Keeper)
 
 // WithDecoder sets the function with which the keeper learns the services that the configuration names. Without it, all
-// services count as named.
+// services count as named, and orders for versions of services are refused.
 func WithDecoder(decode Decoder) Option {
 	return func(k *Keeper) { k.decode = decode }
 }
@@ -119,19 +119,30 @@
 
 // named reports whether the configuration in force names a service. All services count as named while there is none.
 func (k *Keeper) named(service string) bool {
-	if k.decode == nil {
-		return true
+	table := k.tableOf(k.store.Current())
+	return table == nil || table.Names(service)
+}
+
+// tableOf returns the table of a configuration. It is nil without a configuration or a decoder, and if the configuration cannot be
+// decoded: another program has validated it, and nothing is known of its services.
+func (k *Keeper) tableOf(d *statev1.Document) *router.Table {
+	if d == nil || k.decode == nil {
+		return nil
 	}
-	table, current := k.table.Load(), k.store.Current()
-	if current != nil && (table == nil || table.Version() != current.GetVersion()) {
-		document, err := k.decode(current.GetBody())
-		if err != nil {
-			return true // Another program has validated it. Nothing is known of its services.
-		}
-		table = router.NewTable(document)
+	known := k.table.Load()
+	if known != nil && known.Version() == d.GetVersion() {
+		return known
+	}
+	document, err := k.decode(d.GetBody())
+	if err != nil {
+		eventer.VersionRejected.Log(k.clock(), "version", d.GetVersion(), "error", err.Error())
+		return nil
+	}
+	table := router.NewTable(document)
+	if known == nil || table.Version() > known.Version() {
 		k.table.Store(table)
 	}
-	return table == nil || table.Names(service)
+	return table
 }
 
 // Settled reports whether this host has recently been in contact with a leader.
--- a/fleetd/keeper/rollouts.go
+++ b/fleetd/keeper/rollouts.go
@@ -35,19 +35,16 @@
 	countsTimeout = 300 * time.Millisecond
 )
 
-// WithRollouts sets the bounds of rollouts and the decoder of configurations. With baselines, the version in use of each
-// service is recorded, and leaves of other versions get nothing without an order.
-func WithRollouts(b roller.Bounds, baselines bool, decode func(body []byte) (*router.Document, error)) Option {
-	return func(k *Keeper) {
-		k.rollouts.bounds, k.rollouts.baselines, k.rollouts.decode = b, baselines, decode
-	}
+// WithRollouts sets the bounds of rollouts. With baselines, the version in use of each service is recorded, and leaves of other
+// versions get nothing without an order.
+func WithRollouts(b roller.Bounds, baselines bool) Option {
+	return func(k *Keeper) { k.rollouts.bounds, k.rollouts.baselines = b, baselines }
 }
 
 // rollouts is the part of a keeper that runs orders.
 type rollouts struct {
 	bounds    roller.Bounds
 	baselines bool
-	decode    func(body []byte) (*router.Document, error)
 	counts    linker.Counts
 
 	mu sync.Mutex
@@ -55,9 +52,6 @@
 	watches map[string]*roller.Watch
 	// outbox holds the newest counts that wait to be passed on to the leader.
 	outbox map[countsKey]*peerv1.ServiceCounts
-	// services holds the services of the configuration in force, and version its version.
-	services map[string]bool
-	version  uint64
 	// pending is since when each service needs another version in use, and checked when that was checked last.
 	pending map[string]time.Time
 	checked time.Time
@@ -88,7 +82,7 @@
 	if err != nil {
 		return nil, wrapUndecided(err)
 	}
-	if !k.knows(document, service) {
+	if table := k.tableOf(document); table == nil || !table.Names(service) {
 		return nil, oops.In("keeper").Wrap(roller.ErrUnknownService)
 	}
 	for _, r := range k.store.Rollouts() {
@@ -120,32 +114,6 @@
 	return r, nil
 }
 
-// knows reports whether a configuration names a service.
-func (k *Keeper) knows(document *statev1.Document, service string) bool {
-	k.rollouts.mu.Lock()
-	defer k.rollouts.mu.Unlock()
-	return k.rollouts.configured(document)[service]
-}
-
-// configured returns the services of a configuration. The caller must hold r.mu.
-func (r *rollouts) configured(document *statev1.Document) map[string]bool {
-	if document == nil || r.decode == nil {
-		return nil
-	}
-	if r.services != nil && document.GetVersion() == r.version {
-		return r.services
-	}
-	decoded, err := r.decode(document.GetBody())
-	if err != nil {
-		return r.services // The body was checked before it was recorded.
-	}
-	r.services, r.version = make(map[string]bool, len(decoded.Services)), document.GetVersion()
-	for _, s := range decoded.Services {
-		r.services[s.Name] = true
-	}
-	return r.services
-}
-
 // ReportCounts receives counts of entry hosts, from them or from a control host that passes them on.
 func (s *Service) ReportCounts(_ context.Context, in *peerv1.ReportCountsRequest) (*peerv1.ReportCountsResponse, error) {
 	s.keeper.receiveCounts(in.GetCounts(), s.keeper.clock())
@@ -236,11 +204,10 @@
 	for _, h := range hosts {
 		addresses = append(addresses, h.GetAddress())
 	}
-	document := k.store.CurrentDocument()
+	table := k.tableOf(k.store.Current())
 	var steps []*statev1.RolloutStep
 	r := k.rollouts
 	r.mu.Lock()
-	services := r.configured(document)
 	running := make(map[string]bool)
 	for _, rollout := range all {
 		if !roller.Running(rollout) {
@@ -249,7 +216,7 @@
 		running[rollout.GetService()] = true
 		facts := factsOf(rollout, leaves, evacuated, now)
 		facts.Time = k.store.Now(now)
-		facts.Known, facts.Hosts = services == nil || services[rollout.GetService()], addresses
+		facts.Known, facts.Hosts = table == nil || table.Names(rollout.GetService()), addresses
 		if step := r.watch(rollout).Step(facts, now); step != nil {
 			steps = append(steps, step)
 		}
@@ -267,7 +234,7 @@
 	group.Wait()
 	if r.baselinesDue(now) {
 		r.checked = now
-		k.setBaselines(ctx, services, leaves, now)
+		k.setBaselines(ctx, table, leaves, now)
 	}
 }
 
@@ -338,7 +305,10 @@
 }
 
 // setBaselines records the version in use of the services that have none, or whose version in use has no leaves any more.
-func (k *Keeper) setBaselines(ctx context.Context, services map[string]bool, leaves []*enroller.Leaf, now time.Time) {
+func (k *Keeper) setBaselines(ctx context.Context, table *router.Table, leaves []*enroller.Leaf, now time.Time) {
+	if table == nil {
+		return
+	}
 	r := k.rollouts
 	known := make(map[string]*statev1.Rollout)
 	for _, rollout := range k.store.Rollouts() {
@@ -346,7 +316,7 @@
 	}
 	versions := make(map[string]map[string]int)
 	for _, l := range leaves {
-		if l.Leaving || !services[l.Service] {
+		if l.Leaving {
 			continue
 		}
 		if versions[l.Service] == nil {
@@ -355,7 +325,8 @@
 		versions[l.Service][l.Program]++
 	}
 	due := &statev1.Baselines{}
-	for service := range services {
+	for _, s := range table.Document().Services {
+		service := s.Name
 		rollout := known[service]
 		version, needed := roller.NextBaseline(rollout, versions[service])
 		if !needed {
--- a/fleetd/keeper/rollouts_test.go
+++ b/fleetd/keeper/rollouts_test.go
@@ -25,7 +25,7 @@
 		return &router.Document{Version: 7, Services: []router.Service{{Name: string(body)}}}, nil
 	}
 	w.keeper = keeper.New("core-1", "a", netip.MustParseAddrPort("10.0.0.1:80"), "10.0.0.1:7000", w.store, w, func() time.Time { return w.now },
-		keeper.WithRollouts(roller.Bounds{Exposure: 0.1, Slack: 50, Rollback: 5 * time.Second}, baselines, decode))
+		keeper.WithRollouts(roller.Bounds{Exposure: 0.1, Slack: 50, Rollback: 5 * time.Second}, baselines), keeper.WithDecoder(decode))
 	return w
 }
 
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -73,7 +73,7 @@
 	go func() { logDone <- log.Run(running) }()
 	state := store.New(machine, proposer{log}, clock)
 	controlKeeper := keeper.New(s.Name, s.Center, control, s.peers.String(), state, log, clock,
-		keeper.WithReadSpacing(s.revoke/readSpacingDivisor), keeper.WithRollouts(s.exposure, s.Bounds.Exposure > 0, platform.DecodeDocument),
+		keeper.WithReadSpacing(s.revoke/readSpacingDivisor), keeper.WithRollouts(s.exposure, s.Bounds.Exposure > 0),
 		keeper.WithDecoder(platform.DecodeDocument))
 	quotas := keeper.NewQuotas(log, state.View, platform.DecodeDocument, s.quotaBounds(), clock, newBootClock())
 	if s.quotaWindow > 0 {
