reserver: one package for free loopback addresses

Cause: five places looked for free addresses by themselves. Three of them closed each listener before they looked for the next one, within the ephemeral port range, so that the kernel could return the same port again or give it to an outgoing connection.

All five use it.

No assertion was changed.

--- a/controld/replica/process_test.go
+++ b/controld/replica/process_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +18,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"lycheelift.example/lib/reserver"
 	"lycheelift.example/lib/transporter"
 	operatorv1 "lycheelift.example/schema/gen/lycheelift/operator/v1"
 	"lycheelift.example/schema/gen/lycheelift/operator/v1/operatorv1connect"
@@ -63,27 +63,22 @@
 	hosts []*host
 }
 
-func freePort(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // newGroup starts the processes of a new group; compact is the number of records between snapshots.
 func newGroup(t testing.TB, count, compact int) *group {
 	g := &group{t: t}
 	folder := t.TempDir()
 	var members strings.Builder
+	addresses, err := reserver.Addresses(2 * count)
+	qt.Assert(t, err, qt.IsNil)
 	client := transporter.NewClient(transporter.PingPolicy{Interval: time.Second, Timeout: time.Second})
 	for i := range count {
-		h := &host{name: fmt.Sprintf("control-%d", i+1), peers: freePort(t)}
+		h := &host{name: fmt.Sprintf("control-%d", i+1), peers: addresses[2*i]}
 		h.data, h.settings = filepath.Join(folder, h.name), filepath.Join(folder, h.name+".toml")
 		fmt.Fprintf(&members, "[[members]]\nname = %q\naddress = %q\n", h.name, h.peers)
 		g.hosts = append(g.hosts, h)
 	}
-	for _, h := range g.hosts {
-		operators := freePort(t)
+	for i, h := range g.hosts {
+		operators := addresses[2*i+1]
 		text := fmt.Sprintf("name = %q\ndata = %q\ncompact = %d\n[listen]\noperators = %q\npeers = %q\n[tls]\noff = true\n%s",
 			h.name, h.data, compact, operators, h.peers, members.String())
 		qt.Assert(t, os.WriteFile(h.settings, []byte(text), 0o600), qt.IsNil)
--- a/demo/runner/deployment.go
+++ b/demo/runner/deployment.go
@@ -11,6 +11,7 @@
 	"github.com/samber/oops"
 
 	"lycheelift.example/lib/authorizer"
+	"lycheelift.example/lib/reserver"
 )
 
 // Size of the demo's deployment.
@@ -47,7 +48,7 @@
 	if d.identities, err = newIdentities(folder, secure); err != nil {
 		return d, err
 	}
-	free, err := freeAddresses(2*controlCount + 2*centerCount*hostsPerCenter)
+	free, err := reserver.Addresses(2*controlCount + 2*centerCount*hostsPerCenter)
 	if err != nil {
 		return d, err
 	}
--- a/demo/runner/measure.go
+++ b/demo/runner/measure.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/samber/oops"
+
+	"lycheelift.example/lib/reserver"
 )
 
 // size is a deployment size to measure.
@@ -129,7 +131,7 @@
 
 // prepare starts the stand-ins and applies the first configuration.
 func (m *measurement) prepare(ctx context.Context) error {
-	free, err := freeAddresses(m.size.services)
+	free, err := reserver.Addresses(m.size.services)
 	if err != nil {
 		return err
 	}
--- a/demo/runner/process.go
+++ b/demo/runner/process.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -52,27 +51,6 @@
 	}
 }
 
-// freeAddresses finds free loopback addresses by listening on each of them for a moment. All are open at the same time,
-// so that no address is returned twice.
-func freeAddresses(n int) ([]string, error) {
-	listeners := make([]net.Listener, 0, n)
-	out := make([]string, 0, n)
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, oops.Wrap(err)
-		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 // waitReady polls a host until it is ready.
 func waitReady(ctx context.Context, security *transporter.Security, address string) error {
 	const interval = 50 * time.Millisecond
--- a/entryd/server/owner_test.go
+++ b/entryd/server/owner_test.go
@@ -22,6 +22,7 @@
 	"lycheelift.example/entryd/dispatcher"
 	"lycheelift.example/entryd/server"
 	"lycheelift.example/leafd/leaf"
+	"lycheelift.example/lib/reserver"
 	backendv1 "lycheelift.example/schema/gen/lycheelift/backend/v1"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
@@ -96,18 +97,13 @@
 	sequence int
 }
 
-func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func newCluster(t testing.TB, hosts, leaves int, configure func(*leaf.Config)) *cluster {
 	k := &cluster{t: t, entries: make(map[string]*entry), leaves: make(map[string]*leaf.Leaf), owner: make(map[string]string)}
 	members := make(map[string]any)
+	addresses, err := reserver.Addresses(2 * hosts)
+	qt.Assert(t, err, qt.IsNil)
 	for i := range hosts {
-		e := &entry{name: fmt.Sprintf("entry-%d", i), callers: freeAddress(t), peers: freeAddress(t)}
+		e := &entry{name: fmt.Sprintf("entry-%d", i), callers: addresses[2*i], peers: addresses[2*i+1]}
 		k.entries[e.name] = e
 		k.names = append(k.names, e.name)
 		members[e.name] = map[string]any{"center": "c", "address": e.peers}
--- a/fleetd/process_test.go
+++ b/fleetd/process_test.go
@@ -14,6 +14,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"lycheelift.example/lib/reserver"
 )
 
 // build compiles the program and returns its path.
@@ -26,15 +28,11 @@
 
 // settings writes the settings of an entry host and returns their path and the address of its readiness check.
 func settings(t *testing.T, extra string) (path, ready string) {
-	port := func() string {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		qt.Assert(t, err, qt.IsNil)
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
-	}
-	ready = port()
+	addresses, err := reserver.Addresses(2)
+	qt.Assert(t, err, qt.IsNil)
+	ready = addresses[0]
 	text := fmt.Sprintf("name = \"entry\"\ncenter = \"a\"\naddress = \"127.0.0.1\"\nports = [7740, 7749]\nseeds = [\"127.0.0.1:1\"]\n%s[listen]\ncallers = %q\nready = %q\n[bounds]\ngrace = \"1s\"\n",
-		extra, port(), ready)
+		extra, addresses[1], ready)
 	path = filepath.Join(t.TempDir(), "fleetd.toml")
 	qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
 	return path, ready
@@ -82,10 +80,9 @@
 	path, _ := settings(t, "")
 	text, err := os.ReadFile(path)
 	qt.Assert(t, err, qt.IsNil)
-	free, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := reserver.Addresses(1)
 	qt.Assert(t, err, qt.IsNil)
-	_, port, _ := net.SplitHostPort(free.Addr().String())
-	qt.Assert(t, free.Close(), qt.IsNil)
+	_, port, _ := net.SplitHostPort(free[0])
 	qt.Assert(t, os.WriteFile(path, []byte(strings.Replace(string(text), "7740", port, 1)), 0o600), qt.IsNil)
 	explain := func() (string, int) {
 		c := exec.Command(binary, "explain", "http://n/all/2f", "--settings", path, "--key-file", "-")
--- a/loader/stager/stager.go
+++ b/loader/stager/stager.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +18,7 @@
 
 	"github.com/samber/oops"
 
+	"lycheelift.example/lib/reserver"
 	"lycheelift.example/lib/transporter"
 	callerv1 "lycheelift.example/schema/gen/lycheelift/caller/v1"
 	"lycheelift.example/schema/gen/lycheelift/caller/v1/callerv1connect"
@@ -87,7 +87,7 @@
 func Start(ctx context.Context, l Layout) (*Deployment, error) {
 	const pingInterval = 5 * time.Second
 	d := &Deployment{layout: l, version: 1, client: transporter.NewClient(transporter.PingPolicy{Interval: pingInterval, Timeout: pingInterval})}
-	addresses, err := freeAddresses(3 + 2*l.Centers*l.Hosts)
+	addresses, err := reserver.Addresses(3 + 2*l.Centers*l.Hosts)
 	if err != nil {
 		return d, err
 	}
@@ -402,28 +402,3 @@
 	}
 	return string(data[max(0, len(data)-maxBytes):])
 }
-
-// Ports are chosen below the ephemeral port range, so that no outgoing connection of another process can occupy a port
-// before the host listens on it.
-const (
-	firstPort = 10000
-	lastPort  = 30000
-)
-
-// freeAddresses finds free loopback addresses by briefly listening on each of them.
-func freeAddresses(n int) ([]string, error) {
-	out := make([]string, 0, n)
-	for _, i := range rand.Perm(lastPort - firstPort) { //nolint:gosec // Any free port will do.
-		if len(out) == n {
-			return out, nil
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+i)
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		out = append(out, address)
-	}
-	return nil, oops.Errorf("fewer than %d free ports", n)
-}
