soaker: hang up a process only once it handles the signal

Cause: one entry host is impaired at a time, so a hang-up waits until a killed host has been started again, and SIGHUP then came within microseconds of the new process. Before the loader has run the program's constructors, of which package ignorer is one, the signal ends any process. The platform would start it again; the soak does not, and waited for the host for two minutes.

Change: Host.HangUp waits until the process ignores or handles SIGHUP. A process that the signal ends after that still fails the soak.

--- a/soaker/breaker/breaker.go
+++ b/soaker/breaker/breaker.go
@@ -203,8 +203,7 @@
 }
 
 func hangUp(h *stager.Host, _ time.Duration) error {
-	h.Signal(syscall.SIGHUP)
-	return nil
+	return h.HangUp()
 }
 
 // impairProxy injects a fault into the connections between other hosts and a control host.
--- a/soaker/runner/runner_test.go
+++ b/soaker/runner/runner_test.go
@@ -18,8 +18,9 @@
 
 // Seeds that have failed before, with the cause.
 var regressions = []uint64{
-	116, // A process that received SIGHUP during its start was terminated. Package ignorer of fleetd prevents this.
-	104, // A request that ended while its host stopped was logged after the log was closed, and the host crashed.
+	116,   // A process that received SIGHUP during its start was terminated. Package ignorer of fleetd prevents this.
+	104,   // A request that ended while its host stopped was logged after the log was closed, and the host crashed.
+	12001, // A hang-up right after a restart ended the new process, which nobody started again. A fault of the soak test.
 	// A heartbeat that cannot be encoded ended the streams of state, and a leaf that had left got requests. Found with 30 s of
 	// faults and checked time limits.
 	9003,
