--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -28,6 +28,7 @@
 	"poison":   playPoison,
 	"headers":  playHeaders,
 	"grey":     playGrey,
+	"kills":    playKills,
 }
 
 func main() {
