--- a/review/standin3/client.go
+++ b/review/standin3/client.go
@@ -17,8 +17,8 @@
 	header             map[string]string
 	body               []byte
 	deadline           time.Duration
-	// sent is called with the time at which the attempt is sent, if it is not nil.
-	sent func(at time.Time)
+	// sent is called with the id of the attempt and the time at which it is sent, if it is not nil.
+	sent func(id string, at time.Time)
 }
 
 // answer is what a client got.
@@ -38,7 +38,7 @@
 func (d *deployment) attempt(h *host, q request) answer {
 	out := answer{id: fmt.Sprintf("%016x", 0x5a00000000000000+attempts.Add(1)), sent: time.Now()}
 	if q.sent != nil {
-		q.sent(out.sent)
+		q.sent(out.id, out.sent)
 	}
 	d.record.line("client: %s %s%s %s to %s", q.method, q.host, q.path, out.id, h.name)
 	defer func() {
--- a/review/standin3/host.go
+++ b/review/standin3/host.go
@@ -52,8 +52,9 @@
 	controls []*host
 	entries  []*host
 	seeds    []string
-	// subnet is the second octet of all addresses.
+	// subnet is the second octet of all addresses, and lock keeps it.
 	subnet int
+	lock   net.Listener
 	bounds string
 }
 
@@ -67,22 +68,30 @@
 coldslack = 5
 `
 
-// freeSubnet returns the second octet of loopback addresses that no other deployment uses.
-func freeSubnet() (int, error) {
+// lockAddress is the address, in each subnet, on which a deployment listens for as long as it uses the subnet.
+const lockAddress = "127.%d.255.1:8224"
+
+// freeSubnet returns the second octet of loopback addresses that no other deployment uses, and the listener that keeps them.
+func freeSubnet() (int, net.Listener, error) {
 	for range 100 {
 		subnet := 30 + rand.IntN(220)
+		lock, err := net.Listen("tcp", fmt.Sprintf(lockAddress, subnet))
+		if err != nil {
+			continue
+		}
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", subnet, controlPort))
 		if err != nil {
+			_ = lock.Close()
 			continue
 		}
-		return subnet, l.Close()
+		return subnet, lock, l.Close()
 	}
-	return 0, errors.New("no free loopback addresses")
+	return 0, nil, errors.New("no free loopback addresses")
 }
 
 // newDeployment writes the settings of a deployment.
 func newDeployment(r *record, centers []string, controls, entries int, more string) (*deployment, error) {
-	subnet, err := freeSubnet()
+	subnet, lock, err := freeSubnet()
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{record: r, folder: folder, subnet: subnet, bounds: siteBounds + more}
+	d := &deployment{record: r, folder: folder, subnet: subnet, lock: lock, bounds: siteBounds + more}
 	for i := range min(controls, 3) {
 		d.seeds = append(d.seeds, fmt.Sprintf("%q", fmt.Sprintf("127.%d.0.%d:%d", subnet, i+1, controlPort)))
 	}
@@ -240,6 +249,7 @@
 		h.signal(syscall.SIGCONT)
 		h.kill()
 	}
+	_ = d.lock.Close()
 	if os.Getenv("KEEP") != "" {
 		fmt.Fprintln(os.Stderr, "kept", d.folder)
 		return
--- a/review/standin3/kills.go
+++ b/review/standin3/kills.go
@@ -48,7 +48,7 @@
 	a.seen[id] = true
 }
 
-func (a *arrivals) send(at time.Time) {
+func (a *arrivals) send(_ string, at time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sent = append(a.sent, at)
--- a/review/standin3/leaf.go
+++ b/review/standin3/leaf.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -60,10 +61,22 @@
 	running  int
 	// failing is the share of requests that the leaf fails by a reset of their connections.
 	failing float64
+	// coldUntil is when the leaf is warm.
+	coldUntil time.Time
+	// interval is the time between two heartbeats, and phase that between the first two.
+	interval, phase time.Duration
+	// quiet is true if the record does not name the requests that the leaf runs.
+	quiet bool
 }
 
-func startLeaf(d *deployment, id, service, address, zone string, handle func(a *arrival) verdict) (*leaf, error) {
-	l := &leaf{d: d, id: id, service: service, address: address, zone: zone, born: time.Now().UnixMilli(), slots: 8, handle: handle, state: "ready", conns: make(map[net.Conn]bool), stopped: make(chan struct{})}
+// leafOption changes a leaf before it starts.
+type leafOption func(l *leaf)
+
+func startLeaf(d *deployment, id, service, address, zone string, handle func(a *arrival) verdict, options ...leafOption) (*leaf, error) {
+	l := &leaf{d: d, id: id, service: service, address: address, zone: zone, born: time.Now().UnixMilli(), slots: 8, handle: handle, state: "ready", conns: make(map[net.Conn]bool), stopped: make(chan struct{}), interval: time.Second, phase: time.Second}
+	for _, o := range options {
+		o(l)
+	}
 	var err error
 	if l.listener, err = net.Listen("tcp", address); err != nil {
 		return nil, err
@@ -126,7 +139,7 @@
 func (l *leaf) answer(c net.Conn, r *http.Request, body []byte) bool {
 	a := arrival{at: time.Now(), leaf: l, id: r.Header.Get("Request-Id"), path: r.URL.RequestURI(), from: c.RemoteAddr().String(), request: r, body: body}
 	if r.URL.Path == "/health" {
-		l.reply(c, 200, map[string]string{"Instance-Id": l.id}, nil)
+		l.reply(c, 200, map[string]string{"Instance-Id": l.id, "Cold-Ms": strconv.FormatInt(l.coldLeft().Milliseconds(), 10)}, nil)
 		return true
 	}
 	header := map[string]string{"Request-Id": a.id, "Server-Stamp": l.id + "." + a.id}
@@ -160,7 +173,9 @@
 		l.reply(c, v.refuse, header, nil)
 		return true
 	}
-	l.d.record.line("leaf %s: runs %s %s %s from %s", l.id, r.Method, a.path, a.id, a.from)
+	if !l.quiet {
+		l.d.record.line("leaf %s: runs %s %s %s from %s", l.id, r.Method, a.path, a.id, a.from)
+	}
 	time.Sleep(v.work)
 	if v.reset {
 		if t, ok := c.(*net.TCPConn); ok {
@@ -189,7 +204,7 @@
 
 // beat sends heartbeats until the leaf has stopped.
 func (l *leaf) beat() {
-	address := ""
+	address, pause := "", l.phase
 	for {
 		l.mu.Lock()
 		silent := l.silent
@@ -200,7 +215,8 @@
 		select {
 		case <-l.stopped:
 			return
-		case <-time.After(time.Second):
+		case <-time.After(pause):
+			pause = l.interval
 		}
 	}
 }
@@ -212,7 +228,7 @@
 	l.mu.Unlock()
 	body, _ := json.Marshal(map[string]any{
 		"service": l.service, "address": l.address, "zone": l.zone, "version": "v1", "slots": l.slots, "state": state,
-		"coldLeftMs": 0, "seq": l.seq.Add(1), "born": l.born,
+		"coldLeftMs": l.coldLeft().Milliseconds(), "seq": l.seq.Add(1), "born": l.born,
 	})
 	var to []string
 	if address != "" {
@@ -238,6 +254,20 @@
 	return ""
 }
 
+// becomeCold makes the leaf cold for a time.
+func (l *leaf) becomeCold(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.coldUntil = time.Now().Add(d)
+}
+
+// coldLeft returns how long the leaf stays cold, 0 if it is warm.
+func (l *leaf) coldLeft() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, time.Until(l.coldUntil))
+}
+
 // crash ends the leaf as a killed process does.
 func (l *leaf) crash() {
 	_ = l.listener.Close()
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -29,6 +29,7 @@
 	"headers":  playHeaders,
 	"grey":     playGrey,
 	"kills":    playKills,
+	"cold":     playCold,
 }
 
 func main() {
