--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -22,7 +22,7 @@
 // limit is the longest time that a case may take.
 const limit = 116 * time.Second
 
-// cases are the cases by name. Trouble is false if the case is to be played without its disruption.
+// cases are the cases by name, and "kills", a trial of the report. Trouble is false if the disruption is left out.
 var cases = map[string]func(r *record, trouble bool) result{
 	"attempts": playAttempts,
 	"poison":   playPoison,
