--- a/review/standin3/cold.go
+++ b/review/standin3/cold.go
@@ -83,12 +83,12 @@
 		for j, center := range centers {
 			l, err := startLeaf(d, fmt.Sprintf("i-%d%d", i, j), name, d.leafAddress(len(centers)*i+j), center, func(a *arrival) verdict {
 				if a.leaf.coldLeft() > 0 {
-					r.line("leaf %s: gets %s from %s while it is cold", a.leaf.id, a.id, a.from)
+					r.line("leaf %s: gets %s while it is cold", a.leaf.id, a.id)
 					seen.add(a)
 				}
 				return part(a)
 			}, func(l *leaf) {
-				l.quiet, l.interval, l.phase = true, beatInterval, time.Duration(rand.Float64()*float64(beatInterval))
+				l.interval, l.phase = beatInterval, time.Duration(rand.Float64()*float64(beatInterval))
 			})
 			if err != nil {
 				r.line("error: %v", err)
--- a/review/standin3/leaf.go
+++ b/review/standin3/leaf.go
@@ -65,8 +65,6 @@
 	coldUntil time.Time
 	// interval is the time between two heartbeats, and phase that between the first two.
 	interval, phase time.Duration
-	// quiet is true if the record does not name the requests that the leaf runs.
-	quiet bool
 }
 
 // leafOption changes a leaf before it starts.
@@ -173,9 +171,7 @@
 		l.reply(c, v.refuse, header, nil)
 		return true
 	}
-	if !l.quiet {
-		l.d.record.line("leaf %s: runs %s %s %s from %s", l.id, r.Method, a.path, a.id, a.from)
-	}
+	l.d.record.line("leaf %s: runs %s %s %s from %s", l.id, r.Method, a.path, a.id, a.from)
 	time.Sleep(v.work)
 	if v.reset {
 		if t, ok := c.(*net.TCPConn); ok {
@@ -226,9 +222,10 @@
 	l.mu.Lock()
 	state := l.state
 	l.mu.Unlock()
+	cold := l.coldLeft().Milliseconds()
 	body, _ := json.Marshal(map[string]any{
 		"service": l.service, "address": l.address, "zone": l.zone, "version": "v1", "slots": l.slots, "state": state,
-		"coldLeftMs": l.coldLeft().Milliseconds(), "seq": l.seq.Add(1), "born": l.born,
+		"coldLeftMs": cold, "seq": l.seq.Add(1), "born": l.born,
 	})
 	var to []string
 	if address != "" {
@@ -242,6 +239,9 @@
 		if status/100 != 2 {
 			continue
 		}
+		if cold > 0 {
+			l.d.record.line("leaf %s: cold for %d ms, acknowledged by %s", l.id, cold, a)
+		}
 		if state == "draining" {
 			l.d.record.line("leaf %s: draining acknowledged by %s", l.id, a)
 		}
