--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -22,10 +22,10 @@
 	return &record{file: f, began: time.Now()}, nil
 }
 
-// line writes one line with the time since the start.
+// line writes one line with the milliseconds since the start.
 func (r *record) line(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f ", time.Since(r.began).Seconds())
+	fmt.Fprintf(r.file, "%6d ms ", time.Since(r.began).Milliseconds())
 	fmt.Fprintf(r.file, format+"\n", args...)
 }
