answerer: size the results of a query by what the planner sends

Cause: the channel of results had room for shards x maxAttempts entries of 32 bytes. The planner makes at most 6 calls for a shard, whatever the route permits. It has room for these now; the constant stands in the planner only.

--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -264,8 +264,8 @@
 	a := q.answerer
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	maxCalls := len(q.shards) * max(q.route.Attempts, 1)
-	q.results = make(chan callResult, maxCalls+len(q.shards)*maxCallsPerShard)
+	// There is room for the results of all calls, so that a call that ends after the reply does not block.
+	q.results = make(chan callResult, len(q.shards)*planner.MaxSends)
 	q.running = make(map[string]*leafCall, len(q.shards))
 	q.answers = make(map[string]*carrier.Answer, len(q.shards))
 	q.plan = planner.New(planner.Query{
@@ -297,9 +297,6 @@
 	}
 }
 
-// maxCallsPerShard is the maximum number of calls that the planner makes for one shard.
-const maxCallsPerShard = 6
-
 // execute carries out the planner's actions and returns its reply, or nil if there is none yet.
 func (q *query) execute(ctx context.Context, actions []planner.Action, timer *time.Timer) *planner.Reply {
 	var reply *planner.Reply
--- a/lib/planner/query.go
+++ b/lib/planner/query.go
@@ -16,9 +16,11 @@
 // HopMargin is subtracted from the deadline at each network hop, so that the reply still arrives in time.
 const HopMargin = time.Millisecond
 
+// MaxSends is the maximum number of calls for one shard of a snapshot, whatever the query permits: a primary call, two hedges
+// and three retries.
+const MaxSends = 6
+
 const (
-	// maxSends is the maximum number of calls for one shard: a primary call, two hedges and three retries.
-	maxSends = 6
 	// maxHedges is 2 because at a fan-out of 990 with 1% slow calls, about 0.1 hedges per query are slow too.
 	maxHedges = 2
 	// maxCanaryHedges is 1, so that a request that crashes servers reaches at most two of them before it is reported.
--- a/lib/planner/retry.go
+++ b/lib/planner/retry.go
@@ -27,11 +27,11 @@
 
 // attemptsRemain reports whether another call may be made for a shard.
 func (p *Planner) attemptsRemain(s *shard) bool {
-	limit := maxSends
+	limit := MaxSends
 	if p.query.Attempts > 0 {
 		limit = p.query.Attempts
 	}
-	return s.attempts < maxSends && s.attempts-s.unsent < limit
+	return s.attempts < MaxSends && s.attempts-s.unsent < limit
 }
 
 // needsNoBudget reports whether a call may be repeated without budget: no leaf received it, and it did not fail for
