--- a/fleetd/answerer/attempts_test.go
+++ b/fleetd/answerer/attempts_test.go
@@ -59,3 +59,16 @@
 		qt.Assert(t, used < usual+maxExtraBytes, qt.IsTrue, qt.Commentf("%d attempts: %d bytes, 2 attempts: %d bytes", attempts, used, usual))
 	}
 }
+
+// The operator asks for more records than memory holds. Guards against a limit on the size of a part that wraps around, so that
+// complete parts are refused.
+func TestPartsMayBeLargeWhenManyRecordsAreWanted(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newFleet(2)
+		for _, top := range []int{1 << 20, 1 << 54, math.MaxInt} {
+			f.view.Table.Document().Routes[0].Top = top
+			ask(f.answerer(), "/all/x")
+			qt.Check(t, f.calls[len(f.calls)-1].MaxBody, qt.Equals, int64(8<<20), qt.Commentf("%d records", top))
+		}
+	})
+}
--- a/fleetd/answerer/call.go
+++ b/fleetd/answerer/call.go
@@ -116,7 +116,8 @@
 	if len(q.route.Gather) == 0 {
 		return maxBody
 	}
-	return min(maxBody, max(minPartBody, partRecordFactor*int64(q.route.Top)*merger.Size))
+	records := min(q.route.Top, maxBody) // The product cannot overflow.
+	return min(maxBody, max(minPartBody, partRecordFactor*int64(records)*merger.Size))
 }
 
 // connectionShare returns the number of a leaf's connections that this host may use.
--- a/fleetd/helper/client.go
+++ b/fleetd/helper/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"slices"
 	"sync"
@@ -169,14 +170,19 @@
 	r := p.Request
 	out := &peerv1.GatherRequest{
 		Id: []byte(r.ID), Method: []byte(r.Method), Host: []byte(r.Host), Target: []byte(r.Target), Route: p.Route, Version: p.Version, Services: p.Services,
-		Top: uint32(p.Top), Attempts: uint32(p.Attempts), Spare: uint32(p.MaxMissing), Asker: p.Requester, //nolint:gosec // Small and not negative.
+		Top: toUint32(p.Top), Attempts: toUint32(p.Attempts), Spare: toUint32(p.MaxMissing), Asker: p.Requester,
 		Aim: durationpb.New(p.SoftDeadline.Sub(now)), Left: durationpb.New(p.Deadline.Sub(now)), Goal: durationpb.New(p.RouteTarget),
-		Body: r.Body, Key: p.Key, Tenant: r.Tenant, Ordinal: uint32(p.KeyOrdinal), Priority: int32(p.Priority), //nolint:gosec // A position in a list, and a configured rank.
+		Body: r.Body, Key: p.Key, Tenant: r.Tenant, Ordinal: toUint32(p.KeyOrdinal), Priority: int32(min(max(p.Priority, math.MinInt32), math.MaxInt32)), //nolint:gosec // Within 32 bits.
 	}
 	out.Header, out.Withheld = encodeHeader(r.Header), encodeHeader(r.Withheld)
 	return out
 }
 
+// toUint32 returns the number of 32 bits that is nearest to n.
+func toUint32(n int) uint32 {
+	return uint32(min(max(n, 0), math.MaxUint32)) //nolint:gosec // Within 32 bits.
+}
+
 func encodeHeader(header http.Header) []*peerv1.HeaderField {
 	var out []*peerv1.HeaderField
 	for name, values := range header {
--- a/fleetd/helper/helper_test.go
+++ b/fleetd/helper/helper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -68,6 +69,27 @@
 	}
 }
 
+// An operator gives numbers that 32 bits do not hold. Guards against a host that gathers under other numbers than the one that asks:
+// without records, or with another limit on attempts.
+func TestLargeNumbersOfAPortionDoNotWrapAround(t *testing.T) {
+	g := &gatherer{}
+	host := serve(t, g, false)
+	c := helper.NewClient(time.Now)
+	awaitUsable(c, host)
+	for _, number := range []int{math.MaxInt32, math.MaxUint32, 1 << 32, 1 << 40, math.MaxInt} {
+		p := portion()
+		p.Top, p.Attempts, p.MaxMissing, p.Priority = number, number, number, number
+		qt.Assert(t, c.Gather(context.Background(), host, p, func(*answerer.Parts) {}), qt.IsNil)
+		got, want := g.portion.Load(), min(number, math.MaxUint32)
+		qt.Check(t, [3]int{got.Top, got.Attempts, got.MaxMissing}, qt.Equals, [3]int{want, want, want}, qt.Commentf("%d", number))
+		qt.Check(t, got.Priority, qt.Equals, min(number, math.MaxInt32))
+	}
+	p := portion()
+	p.Top = -1
+	qt.Assert(t, c.Gather(context.Background(), host, p, func(*answerer.Parts) {}), qt.IsNil)
+	qt.Assert(t, g.portion.Load().Top, qt.Equals, 0)
+}
+
 // Guards against a portion that is altered in transit, and against lost updates.
 func TestPortionIsGatheredByAnotherHost(t *testing.T) {
 	g := &gatherer{}
--- a/fleetd/helper/service.go
+++ b/fleetd/helper/service.go
@@ -42,7 +42,7 @@
 	var failed error
 	s.gatherer.Gather(out.Context(), decode(m, s.clock()), func(p *answerer.Parts) {
 		if failed == nil {
-			response := &peerv1.GatherResponse{Stamps: toBytes(p.Stamps), Records: p.Records, Last: p.Final, Unrun: p.NotRun, Lost: uint32(p.LostConnections)} //nolint:gosec // Small and not negative.
+			response := &peerv1.GatherResponse{Stamps: toBytes(p.Stamps), Records: p.Records, Last: p.Final, Unrun: p.NotRun, Lost: toUint32(p.LostConnections)}
 			if p.Expected > 0 {
 				response.Expected = durationpb.New(p.Expected)
 			}
--- a/lib/quoter/coordinator.go
+++ b/lib/quoter/coordinator.go
@@ -262,10 +262,13 @@
 	return min(wanted, max(1, free/stockDivisor))
 }
 
+// maxStep bounds the time between two tokens that rejected requests are told to wait for.
+const maxStep = 24 * time.Hour
+
 // nextSlots returns the time after which a token is expected for the first of some rejected requests, and the time between two
 // of them. Each rejected request is given a time of its own, so that callers that return do not come all at once.
 func (b *bucket) nextSlots(count int, now time.Time) (retry, step time.Duration) {
-	step = time.Duration(float64(time.Second) / b.plan.rate)
+	step = time.Duration(min(float64(time.Second)/b.plan.rate, float64(maxStep)))
 	earliest := now.Add(max(0, time.Duration((1-b.level)*float64(step))))
 	first := b.slot.Add(step)
 	if first.Before(earliest) || first.Sub(now) > maxAhead {
