receiver: follow the limits on headers of the configuration in force

Cause: the server of callers had constants for both limits, 64 KiB and 10 s. http.Server reads its limits without a lock, so they cannot change while it runs. A connection of our own limits headers now and asks for the limits in force before each read: a new configuration counts at once, also on open connections. Refusals (431, 408) are logged as event 1021.

Related: a portion of a request that does not fit into a message between hosts was lost; it is gathered by the host that received the request.

--- a/fleetd/exchanger/exchanger_test.go
+++ b/fleetd/exchanger/exchanger_test.go
@@ -93,6 +93,21 @@
 	qt.Assert(t, e.Stats().Reused, qt.Equals, uint64(4))
 }
 
+// The operator permits long headers. Guards against a header that does not reach the leaf whole.
+func TestLongHeaderReachesTheLeaf(t *testing.T) {
+	const size = 800 << 10 // What the test's leaf reads at most is 1 MiB.
+	seen := make(chan int, 1)
+	l := startLeaf(t, func(conn net.Conn, r *http.Request) bool {
+		seen <- len(r.Header.Get("Filter"))
+		return answerOK(conn, r)
+	})
+	c := l.call("1")
+	c.Request.Header.Set("Filter", strings.Repeat("v", size))
+	_, err := newExchanger().Do(context.Background(), c)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, <-seen, qt.Equals, size)
+}
+
 // Guards against a non-idempotent request that is sent on a reused connection, which may be stale or unresponsive.
 func TestFreshCallOpensAConnectionOfItsOwn(t *testing.T) {
 	l := startLeaf(t, answerOK)
--- a/fleetd/helper/client.go
+++ b/fleetd/helper/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"lycheelift.example/fleetd/answerer"
@@ -97,8 +98,13 @@
 	return state
 }
 
-// errNotConnected means that the connection was closed after the host was chosen.
-var errNotConnected = errors.New("the host is not connected")
+// Reasons why a portion is not sent to a host.
+var (
+	// errNotConnected means that the connection was closed after the host was chosen.
+	errNotConnected = errors.New("the host is not connected")
+	// errTooLarge means that the caller's request does not fit into a message.
+	errTooLarge = errors.New("the request is too large for a message")
+)
 
 // Gather has a portion gathered by a host. If the host has sent nothing when the portion's soft deadline has passed,
 // its connection is closed, because it may be dead.
@@ -109,7 +115,11 @@
 	if !ok {
 		return errors.Join(answerer.ErrDeclined, errNotConnected)
 	}
-	stream, err := peerv1.NewGatherServiceClient(conn).Gather(ctx, encode(p, c.clock()))
+	request := encode(p, c.clock())
+	if proto.Size(request) > linker.MaxMessageBytes {
+		return errors.Join(answerer.ErrDeclined, errTooLarge)
+	}
+	stream, err := peerv1.NewGatherServiceClient(conn).Gather(ctx, request)
 	received := false
 	for err == nil {
 		var m *peerv1.GatherResponse
@@ -172,7 +182,7 @@
 		Id: []byte(r.ID), Method: []byte(r.Method), Host: []byte(r.Host), Target: []byte(r.Target), Route: p.Route, Version: p.Version, Services: p.Services,
 		Top: toUint32(p.Top), Attempts: toUint32(p.Attempts), Spare: toUint32(p.MaxMissing), Asker: p.Requester,
 		Aim: durationpb.New(p.SoftDeadline.Sub(now)), Left: durationpb.New(p.Deadline.Sub(now)), Goal: durationpb.New(p.RouteTarget),
-		Body: r.Body, Key: p.Key, Tenant: r.Tenant, Ordinal: toUint32(p.KeyOrdinal), Priority: int32(min(max(p.Priority, math.MinInt32), math.MaxInt32)), //nolint:gosec // Within 32 bits.
+		Body: r.Body, Key: p.Key, Tenant: r.Tenant, Ordinal: toUint32(p.KeyOrdinal), Priority: int32(min(max(p.Priority, math.MinInt32), math.MaxInt32)),
 	}
 	out.Header, out.Withheld = encodeHeader(r.Header), encodeHeader(r.Withheld)
 	return out
@@ -180,7 +190,7 @@
 
 // toUint32 returns the number of 32 bits that is nearest to n.
 func toUint32(n int) uint32 {
-	return uint32(min(max(n, 0), math.MaxUint32)) //nolint:gosec // Within 32 bits.
+	return uint32(min(max(n, 0), math.MaxUint32))
 }
 
 func encodeHeader(header http.Header) []*peerv1.HeaderField {
--- a/fleetd/helper/helper_test.go
+++ b/fleetd/helper/helper_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 
 	"lycheelift.example/fleetd/answerer"
 	"lycheelift.example/fleetd/helper"
+	"lycheelift.example/fleetd/linker"
 	"lycheelift.example/lib/carrier"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 )
@@ -46,7 +48,8 @@
 func serve(t *testing.T, g *gatherer, stopping bool) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
-	server := grpc.NewServer()
+	_, options := linker.Options()
+	server := grpc.NewServer(options...)
 	peerv1.RegisterGatherServiceServer(server, helper.NewService(g, func() bool { return stopping }, time.Now))
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
@@ -90,6 +93,23 @@
 	qt.Assert(t, g.portion.Load().Top, qt.Equals, 0)
 }
 
+// The operator permits long headers and bodies. Guards against a portion that is lost because of the size of the request, instead of
+// being sent or gathered by the host that received the request.
+func TestPortionOfALongRequest(t *testing.T) {
+	g := &gatherer{}
+	host := serve(t, g, false)
+	c := helper.NewClient(time.Now)
+	awaitUsable(c, host)
+	p := portion()
+	p.Request.Header.Set("Filter", strings.Repeat("v", 1<<20))
+	p.Request.Body = make([]byte, 3<<20)
+	qt.Assert(t, c.Gather(context.Background(), host, p, func(*answerer.Parts) {}), qt.IsNil)
+	qt.Assert(t, g.portion.Load().Request.Header.Get("Filter"), qt.HasLen, 1<<20)
+	qt.Assert(t, g.portion.Load().Request.Body, qt.HasLen, 3<<20)
+	p.Request.Body = make([]byte, linker.MaxMessageBytes)
+	qt.Assert(t, c.Gather(context.Background(), host, p, func(*answerer.Parts) {}), qt.ErrorIs, answerer.ErrDeclined)
+}
+
 // Guards against a portion that is altered in transit, and against lost updates.
 func TestPortionIsGatheredByAnotherHost(t *testing.T) {
 	g := &gatherer{}
--- a/fleetd/linker/linker.go
+++ b/fleetd/linker/linker.go
@@ -29,10 +29,11 @@
 	windowBytes = 64 << 10
 	// bufferBytes is the size of a connection's read buffer and of its write buffer.
 	bufferBytes = 4 << 10
-	// maxMessageBytes bounds a message: it holds a document of the largest size and a roster of some thousand leaves.
-	maxMessageBytes = 16 << 20
 )
 
+// MaxMessageBytes bounds a message between hosts: it holds a document of the largest size and a roster of some thousand leaves.
+const MaxMessageBytes = 16 << 20
+
 // Errors of a stream.
 var (
 	// ErrSilent means that no message arrived within SilenceTimeout.
@@ -45,11 +46,11 @@
 func Options() ([]grpc.DialOption, []grpc.ServerOption) {
 	dial := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithContextDialer(dialContext), grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
-		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 	}
 	serve := []grpc.ServerOption{
 		grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes), grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes),
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
 	}
 	return dial, serve
 }
--- a/fleetd/receiver/receiver.go
+++ b/fleetd/receiver/receiver.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -16,13 +17,10 @@
 
 	"lycheelift.example/lib/drainer"
 	"lycheelift.example/lib/peeker"
+	"lycheelift.example/lib/router"
 )
 
 const (
-	// headerTimeout limits the time to receive a request's header.
-	headerTimeout = 10 * time.Second
-	// maxHeader limits the size of a request's header in bytes.
-	maxHeader = 64 << 10
 	// sweepInterval is the interval at which idle connections are closed.
 	sweepInterval = time.Second
 	// noticeTime is how long a stopping host continues to accept connections: the load balancer checks the host every
@@ -38,9 +36,9 @@
 
 // Receiver serves one address. It is safe for concurrent use.
 type Receiver struct {
-	idle  func() time.Duration
-	grace time.Duration
-	clock func() time.Time
+	limits func() router.Limits
+	grace  time.Duration
+	clock  func() time.Time
 	// conns tracks the callers' connections.
 	conns  *drainer.Drainer
 	notice time.Duration
@@ -56,11 +54,11 @@
 	return func(r *Receiver) { r.notice = notice }
 }
 
-// New returns a receiver. Idle returns how long a connection may stay without a request, or 0 for no limit; grace is
-// the time within which the receiver must stop.
-func New(idle func() time.Duration, grace time.Duration, clock func() time.Time, options ...Option) *Receiver {
+// New returns a receiver. limits returns the limits on callers that are in force; grace is the time within which the receiver
+// must stop.
+func New(limits func() router.Limits, grace time.Duration, clock func() time.Time, options ...Option) *Receiver {
 	r := &Receiver{
-		idle: idle, grace: grace, clock: clock, conns: drainer.New(clock),
+		limits: limits, grace: grace, clock: clock, conns: drainer.New(clock),
 		notice: min(noticeTime, grace/2), //nolint:mnd // The other half is left for requests in progress.
 	}
 	for _, o := range options {
@@ -93,12 +91,16 @@
 func (r *Receiver) serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
 	requests, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	defer cancel(nil)
-	server := &http.Server{
+	server := &http.Server{ //nolint:gosec // headerConn limits the time of a header.
 		BaseContext: func(net.Listener) context.Context { return requests },
-		Handler:     handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader, ConnContext: peeker.WithConn,
+		Handler:     handler, MaxHeaderBytes: math.MaxInt32, // headerConn limits the size.
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return peeker.WithConn(ctx, conn.(*headerConn).NetConn()) //nolint:forcetypeassert // The listener returns nothing else.
+		},
 		ErrorLog: stdlog.New(io.Discard, "", 0), // It reports malformed input from callers; the handler logs relevant errors.
 	}
-	listener = r.conns.Attach(server, listener)
+	listener = headerListener{r.conns.Attach(server, listener), r.limits, r.clock}
+	server.ConnState = r.track
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(listener) }()
 	ticker := time.NewTicker(sweepInterval)
@@ -115,6 +117,14 @@
 	}
 }
 
+// track records a state change of a connection, as an http.Server.ConnState callback.
+func (r *Receiver) track(conn net.Conn, status http.ConnState) {
+	if c, ok := conn.(*headerConn); ok {
+		c.track(status)
+	}
+	r.conns.Track(conn, status)
+}
+
 // stop waits for the load balancer to detect the stop, then for the requests in progress to end. It serves the
 // address until no connection remains: closing the listener resets connections that the kernel has accepted but this
 // process has not. Requests that are still in progress at the end are cancelled and get an answer before their connections
@@ -155,7 +165,7 @@
 
 // sweep closes connections that have been idle for too long.
 func (r *Receiver) sweep(now time.Time) {
-	if limit := r.idle(); limit > 0 {
+	if limit := r.limits().IdleTimeout; limit > 0 {
 		r.conns.Close(now, limit)
 	}
 }
--- a/fleetd/receiver/receiver_test.go
+++ b/fleetd/receiver/receiver_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"lycheelift.example/lib/drainer"
+	"lycheelift.example/lib/router"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -35,7 +36,7 @@
 func newReceiver(idle time.Duration) (*Receiver, *time.Time) {
 	now := start
 	clock := func() time.Time { return now }
-	r := New(func() time.Duration { return idle }, 8*time.Second, clock)
+	r := New(func() router.Limits { return router.Limits{IdleTimeout: idle} }, 8*time.Second, clock)
 	r.conns = drainer.New(clock, drainer.WithPendingCheck(func(c net.Conn) bool {
 		s, ok := c.(*fakeConn)
 		return !ok || !s.pending
@@ -141,7 +142,7 @@
 		near, far := net.Pipe()
 		listener := &pipeListener{conns: make(chan net.Conn, 1)}
 		listener.conns <- near
-		r := New(func() time.Duration { return 0 }, 6*time.Second, time.Now)
+		r := New(func() router.Limits { return router.Limits{} }, 6*time.Second, time.Now)
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
 		began := time.Now()
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -20,6 +20,7 @@
 	"lycheelift.example/lib/eventer"
 	"lycheelift.example/lib/exporter"
 	"lycheelift.example/lib/journaler"
+	"lycheelift.example/lib/router"
 	"lycheelift.example/platform"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
@@ -139,7 +140,7 @@
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	go func() { failed <- peers.Serve(listener) }()
-	requestReceiver := receiver.New(func() time.Duration { return 0 }, drainTimeout, clock, receiver.WithNotice(0))
+	requestReceiver := receiver.New(func() router.Limits { return router.Limits{} }, drainTimeout, clock, receiver.WithNotice(0))
 	go func() {
 		served <- requestReceiver.Run(serving, s.Listen.Control, platform.NewControl(controlKeeper, clock))
 	}()
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -59,7 +59,7 @@
 		}
 		return router.Limits{}
 	}
-	requestReceiver := receiver.New(func() time.Duration { return limits().IdleTimeout }, s.grace, clock)
+	requestReceiver := receiver.New(limits, s.grace, clock)
 	exchange := exchanger.New(platform.Leaf{}, clock, exchanger.WithQuota(s.quota()))
 	quotas := acquirer.New(client.Control, newBootClock(), acquirer.WithScope(metrics.Scope), acquirer.WithOthers(client.Others))
 	if s.quotaWindow > 0 {
--- a/lib/drainer/drainer.go
+++ b/lib/drainer/drainer.go
@@ -151,12 +151,15 @@
 	return err
 }
 
-// underlyingConn returns the connection below TLS, or conn itself without TLS.
+// underlyingConn returns the connection below TLS and other layers, or conn itself without them.
 func underlyingConn(conn net.Conn) net.Conn {
-	if t, ok := conn.(*tls.Conn); ok {
-		return t.NetConn()
+	for {
+		layer, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return conn
+		}
+		conn = layer.NetConn()
 	}
-	return conn
 }
 
 // isHTTP2 reports whether a connection uses HTTP/2. It is valid once the first request has been read.
@@ -164,6 +167,6 @@
 	if t, ok := conn.(*tls.Conn); ok {
 		return t.ConnectionState().NegotiatedProtocol == "h2"
 	}
-	w, ok := conn.(*watchedConn)
+	w, ok := underlyingConn(conn).(*watchedConn)
 	return ok && w.hasHTTP2Preface.Load()
 }
--- a/lib/eventer/query.go
+++ b/lib/eventer/query.go
@@ -17,6 +17,7 @@
 	PortionEnded         = definePerRequest(1013, Info, "portion of a query gathered")
 	RequestBlocked       = define(1015, Warning, "requests with this fingerprint are refused: they crash the leaves that run them")
 	RequestsUnauthorized = define(1020, Info, "requests without a known key refused")
+	HeaderRefused        = define(1021, Info, "request refused while its header was received")
 	RequestExplained     = define(1045, Info, "request explained to an operator, not sent")
 	RequestRejected      = definePerRequest(1030, Info, "request not admitted")
 	PortionFailed        = definePerRequest(1014, Warning, "portion of a query was not gathered by the chosen host")
