keeper, quarantiner: record blocks of requests that crash leaves

Causes: blocks were held in memory only; and a loss reached the other hosts late, because the reply did not wait for its report and nothing woke the streams of control hosts, so that retries within 10 ms met hosts that knew nothing.

The leader records blocks in the replicated log, with the lost requests that they are based on. A host that has only the record lets one request through: lost, it blocks again, answered, it ends the block, so a wrong block does not last longer than before. No time of day is recorded. Losses wake the streams, the reply to a lost request waits up to 50 ms until the control host is told, and an entry host tells the next control host that it follows all that it knows.

--- a/controld/store/depart.go
+++ b/controld/store/depart.go
@@ -51,6 +51,8 @@
 	Departures map[string]uint64
 	// Rollouts are sorted by service.
 	Rollouts []*statev1.Rollout
+	// Blocks are the requests that are refused, sorted by fingerprint.
+	Blocks []*statev1.Block
 	// Changed is closed at the next change.
 	Changed <-chan struct{}
 }
@@ -70,7 +72,7 @@
 	m := s.machine
 	out := View{
 		Index: m.index, Document: m.documents.Current(), Evacuated: m.evacuatedCenters(),
-		Departures: make(map[string]uint64), Rollouts: m.rollouts.List(), Changed: m.changed,
+		Departures: make(map[string]uint64), Rollouts: m.rollouts.List(), Blocks: m.blocks.List(), Changed: m.changed,
 	}
 	m.departures.Each(func(leaf string, born uint64) { out.Departures[leaf] = born })
 	return out
--- a/controld/store/document.go
+++ b/controld/store/document.go
@@ -10,7 +10,7 @@
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
-// notifyChanged wakes the waiters for changes of documents, evacuations or departures.
+// notifyChanged wakes the waiters for changes of the state that hosts follow.
 func (m *Machine) notifyChanged() {
 	close(m.changed)
 	m.changed = make(chan struct{})
--- a/controld/store/machine.go
+++ b/controld/store/machine.go
@@ -1,6 +1,6 @@
 // Package store holds the replicated state of the control hosts: the configuration, as patched versions or as complete
-// documents, the at-most-once ledger, evacuated data centres, departed leaves and
-// rollouts.
+// documents, the at-most-once ledger, evacuated data centres, departed leaves,
+// rollouts and blocked requests.
 package store
 
 import (
@@ -13,6 +13,7 @@
 
 	"lycheelift.example/lib/configurator"
 	"lycheelift.example/lib/enroller"
+	"lycheelift.example/lib/quarantiner"
 	"lycheelift.example/lib/registrar"
 	"lycheelift.example/lib/roller"
 	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
@@ -30,10 +31,11 @@
 	orders     map[string]uint64
 	departures *enroller.Departures
 	rollouts   *roller.Ledger
+	blocks     quarantiner.Blocks
 	members    *statev1.Members
 	time       time.Time
 	index      uint64
-	// changed is closed and replaced when documents, evacuations, departures or rollouts have changed.
+	// changed is closed and replaced when documents, evacuations, departures, rollouts or blocks have changed.
 	changed chan struct{}
 }
 
@@ -92,6 +94,8 @@
 		return m.reply(m.rollouts.Step(index, kind.Step, now))
 	case *statev1.Command_Baselines:
 		return m.reply(&statev1.RolloutResult{Changed: m.rollouts.SetBaselines(index, kind.Baselines, now)})
+	case *statev1.Command_Blocks:
+		return m.applyBlocks(kind.Blocks)
 	case nil:
 		return &statev1.Result{}
 	default:
@@ -140,6 +144,7 @@
 	m.saveEvacuated(state)
 	m.departures.Save(state)
 	m.rollouts.Save(state)
+	m.blocks.Save(state)
 	return state, m.ledger.Freeze()
 }
 
@@ -162,6 +167,7 @@
 	m.loadEvacuated(state)
 	m.departures.Load(state)
 	m.rollouts.Load(state)
+	m.blocks.Load(state)
 	m.index = index
 	m.notifyChanged()
 	m.members = state.GetMembers()
--- a/fleetd/answerer/answerer.go
+++ b/fleetd/answerer/answerer.go
@@ -40,8 +40,8 @@
 	// has ended and was reported. It returns 0 and nil if the request is not suspected. No request ends later than its deadline.
 	Begin(ctx context.Context, r *carrier.Request, deadline, now time.Time) (end func(now time.Time), wait time.Duration)
 	// ReportLost records that the leaves that received a request closed their connections without an answer, and that no
-	// leaf answered it.
-	ReportLost(r *carrier.Request, now time.Time)
+	// leaf answered it. The returned channel is closed when other hosts have been told, or cannot be.
+	ReportLost(r *carrier.Request, now time.Time) (told <-chan struct{})
 	// ReportAnswered records that a leaf has answered a request.
 	ReportAnswered(r *carrier.Request, now time.Time)
 }
@@ -53,7 +53,12 @@
 func (noSuspects) Begin(context.Context, *carrier.Request, time.Time, time.Time) (func(time.Time), time.Duration) {
 	return nil, 0
 }
-func (noSuspects) ReportLost(*carrier.Request, time.Time)     {}
+
+func (noSuspects) ReportLost(*carrier.Request, time.Time) <-chan struct{} {
+	told := make(chan struct{})
+	close(told)
+	return told
+}
 func (noSuspects) ReportAnswered(*carrier.Request, time.Time) {}
 
 // Viewer provides the configuration in force and the known leaves.
--- a/fleetd/answerer/explain_test.go
+++ b/fleetd/answerer/explain_test.go
@@ -93,7 +93,11 @@
 	return nil, 0
 }
 
-func (c *countingTracker) ReportLost(*carrier.Request, time.Time)     { c.reports.Add(1) }
+func (c *countingTracker) ReportLost(*carrier.Request, time.Time) <-chan struct{} {
+	c.reports.Add(1)
+	return closedChannel()
+}
+
 func (c *countingTracker) ReportAnswered(*carrier.Request, time.Time) { c.reports.Add(1) }
 
 // passiveHelpers counts the connections that are opened while it is passive.
--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -186,7 +186,7 @@
 		return reply
 	}
 	defer q.leave()
-	defer q.reportSuspect()
+	defer q.reportSuspect(ctx)
 	if q.answerer.shouldDivide(q.view, q.shards) {
 		q.markSent()
 		return q.gatherDivided(ctx)
@@ -216,13 +216,27 @@
 	return "", nil
 }
 
+// reportTimeout limits the time for which the reply to a lost request waits until other hosts know of the loss. The caller may
+// send the request again at once, and each host that does not know of it would run it.
+const reportTimeout = 50 * time.Millisecond
+
 // reportSuspect reports whether the leaves that received the request survived it.
-func (q *query) reportSuspect() {
-	switch now := q.answerer.clock(); {
-	case q.answered:
+func (q *query) reportSuspect(ctx context.Context) {
+	now := q.answerer.clock()
+	if q.answered {
 		q.answerer.suspects.ReportAnswered(q.request, now)
-	case q.lostConnections > 0:
-		q.answerer.suspects.ReportLost(q.request, now)
+		return
+	}
+	if q.lostConnections == 0 {
+		return
+	}
+	told := q.answerer.suspects.ReportLost(q.request, now)
+	timer := time.NewTimer(min(reportTimeout, q.deadline.Sub(now)))
+	defer timer.Stop()
+	select {
+	case <-told:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
--- a/fleetd/answerer/suspect_test.go
+++ b/fleetd/answerer/suspect_test.go
@@ -20,13 +20,29 @@
 type fakeSuspects struct {
 	lost, answered int
 	blocked        time.Duration
+	// takes is how long it takes to tell other hosts of a loss.
+	takes time.Duration
 }
 
 func (s *fakeSuspects) Blocked(*carrier.Request, time.Time) time.Duration { return s.blocked }
 func (s *fakeSuspects) Begin(context.Context, *carrier.Request, time.Time, time.Time) (func(time.Time), time.Duration) {
 	return nil, 0
 }
-func (s *fakeSuspects) ReportLost(*carrier.Request, time.Time)     { s.lost++ }
+
+func (s *fakeSuspects) ReportLost(*carrier.Request, time.Time) <-chan struct{} {
+	s.lost++
+	told := make(chan struct{})
+	time.AfterFunc(s.takes, func() { close(told) })
+	return told
+}
+
+// closedChannel returns a channel that tells at once.
+func closedChannel() <-chan struct{} {
+	out := make(chan struct{})
+	close(out)
+	return out
+}
+
 func (s *fakeSuspects) ReportAnswered(*carrier.Request, time.Time) { s.answered++ }
 
 // newSuspecting returns an answerer of a fleet that reports to s.
@@ -41,6 +57,20 @@
 	}
 }
 
+// Load: a request crashes its leaves, and its caller sends it to another host as soon as it has failed. Guards against a reply before the
+// other hosts know of the loss, and against one that is held back for long because they cannot be told.
+func TestReplyWaitsUntilOtherHostsKnowOfTheLoss(t *testing.T) {
+	for takes, waits := range map[time.Duration]time.Duration{3 * time.Millisecond: 3 * time.Millisecond, time.Hour: 50 * time.Millisecond} {
+		inBubble(t, func(t *testing.T) {
+			f, s := newFleet(10), &fakeSuspects{takes: takes}
+			f.breakAllLeaves()
+			_, took := ask(newSuspecting(f, s), "/one/2f")
+			qt.Assert(t, took, qt.Equals, waits)
+			time.Sleep(takes)
+		})
+	}
+}
+
 // Load: a request crashes every leaf that executes it. Guards against such a request that is not reported, on routes
 // of each kind, and against a blocked request that is sent all the same.
 func TestRequestThatEndsItsLeavesIsNoted(t *testing.T) {
--- a/fleetd/follower/run.go
+++ b/fleetd/follower/run.go
@@ -263,13 +263,13 @@
 
 var errNeverFollowed = errors.New("no control host has been followed yet")
 
-// Report reports a request that is suspected of crashing the leaves that run it to the followed control host.
-func (c *Client) Report(ctx context.Context, loss *peerv1.Loss) error {
+// Report reports requests that are suspected of crashing the leaves that run them to the followed control host.
+func (c *Client) Report(ctx context.Context, losses []*peerv1.Loss) error {
 	address := c.Control()
 	if address == "" {
 		return errNeverFollowed
 	}
-	return linker.Report(ctx, address, loss)
+	return linker.Report(ctx, address, losses)
 }
 
 // ReportCounts sends counts of calls to services with a running rollout to the followed control host.
--- a/fleetd/keeper/follow.go
+++ b/fleetd/keeper/follow.go
@@ -54,7 +54,9 @@
 	departed map[string]uint64
 	// losses is the revision of the loss ledger up to which losses have been sent.
 	losses uint64
-	sent   time.Time
+	// toldLosses is when losses were sent last.
+	toldLosses time.Time
+	sent       time.Time
 	// rollouts are the rollouts sent last.
 	rollouts []*statev1.Rollout
 }
@@ -73,7 +75,7 @@
 	ticker := time.NewTicker(checkInterval)
 	defer ticker.Stop()
 	for {
-		heard := k.leader.heard()
+		heard, lost := k.leader.heard(), f.lossChanged(k.clock())
 		view, batch := k.store.View(), k.roster.Since(f.revision, request.GetControl())
 		if m := f.next(view, batch, k.clock()); m != nil {
 			if err := out.Send(m); err != nil {
@@ -90,11 +92,21 @@
 		case <-batch.Changed:
 			time.Sleep(batchDelay)
 		case <-heard:
+		case <-lost:
 		case <-ticker.C:
 		}
 	}
 }
 
+// lossChanged returns a channel that is closed when losses have changed. After a message with losses it returns nil for
+// checkInterval, so that many losses are sent together.
+func (f *stream) lossChanged(now time.Time) <-chan struct{} {
+	if now.Sub(f.toldLosses) < checkInterval {
+		return nil
+	}
+	return f.keeper.losses.Changed()
+}
+
 // next returns the next message for the follower, or nil if there is nothing to send.
 func (f *stream) next(view store.View, batch enroller.Batch, now time.Time) *peerv1.FollowResponse {
 	m := &peerv1.FollowResponse{Index: view.Index, Settled: f.keeper.Settled(now), Alone: f.keeper.isolated(now)}
@@ -111,10 +123,11 @@
 	} else {
 		changed = f.addState(m, view) || changed
 	}
+	f.keeper.adoptBlocks(view, now)
 	losses, revision := f.keeper.losses.Since(f.losses, now)
 	for _, l := range losses {
 		m.Losses = append(m.Losses, suspector.Encode(l, now))
-		changed = true
+		changed, f.toldLosses = true, now
 	}
 	m.Entries, m.Followers = f.keeper.countEntries(now)
 	if controls := f.keeper.controlHosts(); !f.started || len(controls) != f.controls || now.Sub(f.sent) >= linker.KeepaliveInterval {
--- a/fleetd/keeper/keeper.go
+++ b/fleetd/keeper/keeper.go
@@ -58,6 +58,8 @@
 	roster *enroller.Roster
 	// losses tracks requests that are suspected of crashing the leaves that run them.
 	losses *quarantiner.Ledger
+	// blocks tracks the records of blocks that the losses include.
+	blocks adoptedBlocks
 	// leader tells the streams when a leader has been heard.
 	leader leaderSignal
 	// reads serves the calls by which followers confirm their state.
--- a/fleetd/keeper/losses.go
+++ b/fleetd/keeper/losses.go
@@ -47,7 +47,7 @@
 		switch {
 		case !changed:
 		case loss.Blocked:
-			eventer.RequestBlocked.Log(now, "fingerprint", loss.Fingerprint, "for", k.losses.Blocked(loss.Fingerprint, now))
+			eventer.RequestBlocked.Log(now, "fingerprint", loss.Fingerprint, "for", k.losses.Blocked(loss.Fingerprint, now), "lost", loss.IDs())
 		default:
 			eventer.RequestSuspected.Log(now, "fingerprint", loss.Fingerprint, "lost", len(loss.Lost), "forgiven", len(loss.Forgiven), "blocked", false)
 		}
--- a/fleetd/linker/linker.go
+++ b/fleetd/linker/linker.go
@@ -117,15 +117,15 @@
 	}
 }
 
-// Report reports a request that is suspected of crashing the leaves that run it to a control host.
-func Report(ctx context.Context, address string, loss *peerv1.Loss) error {
+// Report reports requests that are suspected of crashing the leaves that run them to a control host.
+func Report(ctx context.Context, address string, losses []*peerv1.Loss) error {
 	dial, _ := Options()
 	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
 	if err != nil {
 		return oops.In("linker").Wrapf(err, "connect to %s", address)
 	}
 	defer func() { _ = conn.Close() }()
-	_, err = peerv1.NewFollowServiceClient(conn).ReportLosses(ctx, &peerv1.ReportLossesRequest{Losses: []*peerv1.Loss{loss}})
+	_, err = peerv1.NewFollowServiceClient(conn).ReportLosses(ctx, &peerv1.ReportLossesRequest{Losses: losses})
 	return oops.In("linker").Wrapf(err, "report to %s", address)
 }
 
--- a/fleetd/server/control.go
+++ b/fleetd/server/control.go
@@ -82,6 +82,7 @@
 	}
 	go controlKeeper.Run(running, folder)
 	go controlKeeper.RunRollouts(running)
+	go controlKeeper.RunBlocks(running)
 	go controlKeeper.FollowPeers(running, s.controls)
 	go serveMetrics(running, s.Listen.Metrics, metrics, clock)
 	err = serveControl(ctx, s, log, controlKeeper, quotas, clock)
--- a/fleetd/server/entry.go
+++ b/fleetd/server/entry.go
@@ -46,6 +46,9 @@
 	var client *follower.Client
 	suspects := suspector.New(suspector.WithArbiter(func(ctx context.Context, m *peerv1.TryRequest) (*peerv1.TryResponse, error) {
 		return client.Arbitrate(ctx, m)
+	}), suspector.WithFollowed(func() <-chan struct{} {
+		_, next := client.Followed()
+		return next
 	}))
 	tally := roller.NewTally(s.peers.String(), uint64(clock().UnixNano()))
 	viewFollower := follower.New(platform.DecodeDocument, clock(), follower.WithLossHandler(suspects.Merge), follower.WithRolloutHandler(tally.Update))
--- a/fleetd/suspector/suspector.go
+++ b/fleetd/suspector/suspector.go
@@ -33,10 +33,12 @@
 // Suspector tracks the suspected requests known to one entry host. It is safe for concurrent use.
 type Suspector struct {
 	ledger  *quarantiner.Ledger
-	reports chan quarantiner.Loss
+	reports chan report
 	trials  *quarantiner.Trials
 	// arbiter asks a control host; nil if there is none.
 	arbiter Arbiter
+	// followed returns a channel that is closed when a control host is followed next; nil if that is not known.
+	followed func() <-chan struct{}
 	// origin distinguishes the trials of this process from those of others, and sequence from each other.
 	origin   uint64
 	sequence atomic.Uint64
@@ -51,10 +53,22 @@
 	return func(s *Suspector) { s.arbiter = a }
 }
 
+// WithFollowed sets the function that returns a channel that is closed when a control host is followed next. That one is told all
+// that this host knows: it may have been restarted.
+func WithFollowed(followed func() <-chan struct{}) Option {
+	return func(s *Suspector) { s.followed = followed }
+}
+
+// report is a loss that is to be reported. The channel told is closed when it has been, or cannot be.
+type report struct {
+	loss quarantiner.Loss
+	told chan struct{}
+}
+
 // New returns a suspector without any suspected requests.
 func New(options ...Option) *Suspector {
 	s := &Suspector{
-		ledger: quarantiner.NewLedger(), reports: make(chan quarantiner.Loss, queueSize), trials: quarantiner.NewTrials(),
+		ledger: quarantiner.NewLedger(), reports: make(chan report, queueSize), trials: quarantiner.NewTrials(),
 		origin: rand.Uint64(), //nolint:gosec // An identity, not a secret.
 	}
 	for _, o := range options {
@@ -83,11 +97,12 @@
 }
 
 // ReportLost records that the leaves that received a request closed their connections without an answer, and that no
-// leaf answered it.
-func (s *Suspector) ReportLost(r *carrier.Request, now time.Time) {
+// leaf answered it. The returned channel is closed when a control host has been told, so that other hosts know of the loss before the
+// caller sends the request again, or when it cannot be told.
+func (s *Suspector) ReportLost(r *carrier.Request, now time.Time) (told <-chan struct{}) {
 	loss := s.ledger.RecordLoss(fingerprint(r), lossID(r.ID), r.Received, now)
 	eventer.RequestSuspected.Log(now, "fingerprint", loss.Fingerprint, "id", r.ID, "lost", len(loss.Lost), "blocked", loss.Blocked)
-	s.report(loss, now)
+	return s.report(loss, now)
 }
 
 // lossID returns the ID of a caller's request in a form that messages can carry: callers need not send UTF-8.
@@ -111,12 +126,16 @@
 	s.report(loss, now)
 }
 
-func (s *Suspector) report(loss quarantiner.Loss, now time.Time) {
+// report queues a loss and returns a channel that is closed when it has been reported, or cannot be.
+func (s *Suspector) report(loss quarantiner.Loss, now time.Time) <-chan struct{} {
+	r := report{loss: loss, told: make(chan struct{})}
 	select {
-	case s.reports <- loss:
+	case s.reports <- r:
 	default:
 		eventer.SuspectReportFailed.Log(now, "fingerprint", loss.Fingerprint, "error", "the report queue is full")
+		close(r.told)
 	}
+	return r.told
 }
 
 // Merge merges the losses received from a control host.
@@ -124,29 +143,42 @@
 	for _, m := range losses {
 		loss, changed := s.ledger.Merge(Decode(m, now), now)
 		if changed && loss.Blocked {
-			eventer.RequestBlocked.Log(now, "fingerprint", loss.Fingerprint, "for", s.ledger.Blocked(loss.Fingerprint, now))
+			eventer.RequestBlocked.Log(now, "fingerprint", loss.Fingerprint, "for", s.ledger.Blocked(loss.Fingerprint, now), "lost", loss.IDs())
 		}
 	}
 }
 
-// Run sends reports until ctx ends. The function send delivers one report to a control host.
-func (s *Suspector) Run(ctx context.Context, send func(context.Context, *peerv1.Loss) error, clock func() time.Time) {
+// Sender delivers losses to a control host.
+type Sender func(context.Context, []*peerv1.Loss) error
+
+// Run sends reports until ctx ends.
+func (s *Suspector) Run(ctx context.Context, send Sender, clock func() time.Time) {
+	var followed <-chan struct{}
+	if s.followed != nil {
+		followed = s.followed()
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case loss := <-s.reports:
-			s.deliver(ctx, loss, send, clock)
+		case r := <-s.reports:
+			s.deliver(ctx, []quarantiner.Loss{r.loss}, send, clock)
+			close(r.told)
+		case <-followed:
+			followed = s.followed()
+			if known, _ := s.ledger.Since(0, clock()); len(known) > 0 {
+				s.deliver(ctx, known, send, clock)
+			}
 		}
 	}
 }
 
-// deliver sends one report and retries on failure.
-func (s *Suspector) deliver(ctx context.Context, loss quarantiner.Loss, send func(context.Context, *peerv1.Loss) error, clock func() time.Time) {
+// deliver sends losses and retries on failure.
+func (s *Suspector) deliver(ctx context.Context, losses []quarantiner.Loss, send Sender, clock func() time.Time) {
 	var err error
 	for range reportAttempts {
 		attempt, cancel := context.WithTimeout(ctx, reportTimeout)
-		err = send(attempt, Encode(loss, clock()))
+		err = send(attempt, encodeAll(losses, clock()))
 		cancel()
 		if err == nil {
 			return
@@ -157,7 +189,15 @@
 		case <-time.After(reportInterval):
 		}
 	}
-	eventer.SuspectReportFailed.Log(clock(), "fingerprint", loss.Fingerprint, "error", err.Error())
+	eventer.SuspectReportFailed.Log(clock(), "fingerprint", losses[0].Fingerprint, "losses", len(losses), "error", err.Error())
+}
+
+func encodeAll(losses []quarantiner.Loss, now time.Time) []*peerv1.Loss {
+	out := make([]*peerv1.Loss, 0, len(losses))
+	for _, l := range losses {
+		out = append(out, Encode(l, now))
+	}
+	return out
 }
 
 // Encode converts a loss to its message. Times are sent as durations relative to now, because hosts' clocks differ.
--- a/fleetd/suspector/suspector_test.go
+++ b/fleetd/suspector/suspector_test.go
@@ -27,9 +27,9 @@
 		out[i] = suspector.New()
 	}
 	for _, s := range out {
-		go s.Run(ctx, func(_ context.Context, m *peerv1.Loss) error {
+		go s.Run(ctx, func(_ context.Context, losses []*peerv1.Loss) error {
 			for _, other := range out {
-				other.Merge([]*peerv1.Loss{m}, time.Now())
+				other.Merge(losses, time.Now())
 			}
 			return nil
 		}, time.Now)
@@ -44,8 +44,8 @@
 		defer cancel()
 		s := suspector.New()
 		sent := make(chan *peerv1.Loss, 2)
-		go s.Run(ctx, func(_ context.Context, m *peerv1.Loss) error {
-			sent <- m
+		go s.Run(ctx, func(_ context.Context, losses []*peerv1.Loss) error {
+			sent <- losses[0]
 			return nil
 		}, time.Now)
 		for _, id := range []string{"a\xff", "a\xfe"} {
@@ -121,7 +121,7 @@
 			s.ReportLost(request("a", time.Now()), time.Now()) // No goroutine receives reports yet.
 		}
 		attempts := 0
-		go s.Run(ctx, func(context.Context, *peerv1.Loss) error {
+		go s.Run(ctx, func(context.Context, []*peerv1.Loss) error {
 			if attempts++; attempts < 3 {
 				return errors.New("the control host is stopping")
 			}
@@ -134,6 +134,49 @@
 	})
 }
 
+// The control hosts are restarted. Guards against a new one that does not learn what this host knows, and against one that is told of
+// each loss by itself.
+func TestNextControlHostIsToldAllThatIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		followed := make(chan struct{})
+		s := suspector.New(suspector.WithFollowed(func() <-chan struct{} { return followed }))
+		sent := make(chan []*peerv1.Loss, 10)
+		go s.Run(ctx, func(_ context.Context, losses []*peerv1.Loss) error {
+			sent <- losses
+			return nil
+		}, time.Now)
+		other := request("b", time.Now())
+		other.Target = "/all/8"
+		<-s.ReportLost(request("a", time.Now()), time.Now())
+		<-s.ReportLost(other, time.Now())
+		synctest.Wait()
+		qt.Assert(t, sent, qt.HasLen, 2)
+		last := followed
+		followed = make(chan struct{})
+		close(last)
+		synctest.Wait()
+		qt.Assert(t, sent, qt.HasLen, 3)
+		<-sent
+		<-sent
+		qt.Assert(t, <-sent, qt.HasLen, 2)
+	})
+}
+
+// Guards against a caller that waits for ever for a report that cannot be queued.
+func TestReportThatIsDroppedCountsAsTold(t *testing.T) {
+	s := suspector.New()
+	for range 65 {
+		select {
+		case <-s.ReportLost(request("a", time.Now()), time.Now()):
+			return
+		default:
+		}
+	}
+	t.Fatal("no report was dropped")
+}
+
 // Guards against a loss whose times are misinterpreted by a host with a different clock.
 func TestLossKeepsItsAgesOnTheWay(t *testing.T) {
 	began := time.Unix(1000, 0)
@@ -141,8 +184,8 @@
 	s.ReportLost(request("a", began), began.Add(time.Second))
 	var sent *peerv1.Loss
 	ctx, cancel := context.WithCancel(context.Background())
-	s.Run(ctx, func(_ context.Context, m *peerv1.Loss) error {
-		sent = m
+	s.Run(ctx, func(_ context.Context, losses []*peerv1.Loss) error {
+		sent = losses[0]
 		cancel()
 		return nil
 	}, func() time.Time { return began.Add(3 * time.Second) })
--- a/lib/eventer/state.go
+++ b/lib/eventer/state.go
@@ -32,4 +32,7 @@
 	QuotasUnreadable    = define(5026, Error, "quotas of tenants cannot be read")
 	CoordinatorSilent   = define(5027, Warning, "no coordinator of quotas answers")
 	CoordinatorAnswered = define(5028, Info, "a coordinator of quotas answers")
+	BlockDecided        = define(5029, Info, "record of a refused fingerprint changed")
+	BlocksUndecided     = define(5030, Warning, "record of refused fingerprints not changed")
+	BlockAdopted        = define(5031, Info, "fingerprint is suspected because of a record")
 )
--- a/lib/quarantiner/ledger.go
+++ b/lib/quarantiner/ledger.go
@@ -28,7 +28,8 @@
 // Loss is what is known about one fingerprint. Merging the losses of different hosts is commutative and idempotent.
 type Loss struct {
 	Fingerprint uint64
-	Lost        []Lost
+	// Lost holds the lost requests; if the fingerprint is blocked, those on which the block is based.
+	Lost []Lost
 	// Forgiven holds the IDs of lost requests after which another request of the fingerprint was answered.
 	Forgiven []string
 	Blocked  bool
@@ -46,6 +47,8 @@
 	mu       sync.Mutex
 	revision uint64
 	entries  map[uint64]*entry
+	// changed is closed and replaced with each new revision.
+	changed chan struct{}
 }
 
 type entry struct {
@@ -56,7 +59,7 @@
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{entries: make(map[uint64]*entry)}
+	return &Ledger{entries: make(map[uint64]*entry), changed: make(chan struct{})}
 }
 
 // IsEmpty reports whether there are no suspects.
@@ -141,6 +144,8 @@
 	case changed:
 		l.revision++
 		e.revision = l.revision
+		close(l.changed)
+		l.changed = make(chan struct{})
 		e.expires = e.loss.expiry(now)
 	case !ok:
 		delete(l.entries, in.Fingerprint)
@@ -166,6 +171,19 @@
 	return out, l.revision
 }
 
+// Changed returns a channel that is closed at the next change.
+func (l *Ledger) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// Blocks returns the blocked fingerprints.
+func (l *Ledger) Blocks(now time.Time) []Loss {
+	losses, _ := l.Since(0, now)
+	return slices.DeleteFunc(losses, func(known Loss) bool { return !known.Blocked })
+}
+
 // expire removes the expired fingerprints. The caller must hold l.mu.
 func (l *Ledger) expire(now time.Time) {
 	for fingerprint, e := range l.entries {
@@ -193,20 +211,23 @@
 	return slices.DeleteFunc(slices.Clone(l.Lost), func(r Lost) bool { return slices.Contains(l.Forgiven, r.ID) })
 }
 
-// sequential returns the largest number of unforgiven lost requests that did not overlap in time. Overlapping requests
+// consecutive returns the largest set of unforgiven lost requests that did not overlap in time. Overlapping requests
 // count once, because a single server failure that none of them caused may have ended all of them.
-func (l *Loss) sequential() int {
+func (l *Loss) consecutive() []Lost {
 	list := l.unforgiven()
 	slices.SortFunc(list, func(a, b Lost) int { return a.Ended.Compare(b.Ended) })
-	count := 0
-	var lastEnd time.Time
+	var out []Lost
 	for _, r := range list {
-		if count == 0 || r.Began.After(lastEnd) {
-			count++
-			lastEnd = r.Ended
+		if len(out) == 0 || r.Began.After(out[len(out)-1].Ended) {
+			out = append(out, r)
 		}
 	}
-	return count
+	return out
+}
+
+// IDs returns the IDs of the lost requests.
+func (l *Loss) IDs() []string {
+	return ids(l.Lost)
 }
 
 // ids returns the IDs of requests.
@@ -245,9 +266,9 @@
 	return slices.MaxFunc(l.Lost, func(a, b Lost) int { return a.Ended.Compare(b.Ended) }).Ended
 }
 
-// block blocks the fingerprint until the given time.
-func (l *Loss) block(until time.Time) {
-	l.Blocked, l.Until, l.Lost, l.Forgiven = true, until, nil, nil
+// block blocks the fingerprint until the given time, because of the given lost requests.
+func (l *Loss) block(until time.Time, grounds []Lost) {
+	l.Blocked, l.Until, l.Lost, l.Forgiven = true, until, latest(grounds), nil
 }
 
 // merge merges another host's knowledge and reports whether it was new. Expired knowledge is ignored.
@@ -259,7 +280,7 @@
 		if !now.Before(in.Until) {
 			return false
 		}
-		l.block(in.Until)
+		l.block(in.Until, in.Lost)
 		return true
 	}
 	in.Lost = slices.DeleteFunc(slices.Clone(in.Lost), func(r Lost) bool { return now.Sub(r.Ended) >= BlockTime })
@@ -275,8 +296,8 @@
 		}
 	}
 	l.Lost = latest(l.Lost)
-	if l.sequential() >= lostLimit {
-		l.block(l.lastEnded().Add(BlockTime))
+	if grounds := l.consecutive(); len(grounds) >= lostLimit {
+		l.block(l.lastEnded().Add(BlockTime), grounds)
 	}
 	return true
 }
