suspector, linker, answerer: one type for lost requests, one way to connect

Lost requests had a message of their own for peers beside the one of the replicated state; both are one now (the bytes on the wire are the same), and ages below zero count as zero. The connection to a control host was opened in three places.

--- a/fleetd/answerer/query.go
+++ b/fleetd/answerer/query.go
@@ -172,16 +172,11 @@
 	if reply := q.acquireToken(ctx); reply != nil {
 		return reply
 	}
-	end, wait := q.answerer.suspects.Begin(ctx, q.request, q.deadline, now)
-	if wait > 0 {
-		return &carrier.Reply{Outcome: carrier.Refused, RetryAfter: wait, Reason: "a request like this one has ended the leaves that ran it, and another one is being tried"}
-	}
-	if end != nil {
-		defer func() { end(q.answerer.clock()) }()
-		single := *q.route
-		single.Attempts = 1 // A suspected request crashes at most one leaf of each shard.
-		q.route = &single
+	end, reply := q.beginTrial(ctx, now)
+	if reply != nil {
+		return reply
 	}
+	defer end()
 	if reply := q.enter(ctx); reply != nil {
 		return reply
 	}
@@ -216,30 +211,6 @@
 	return "", nil
 }
 
-// reportTimeout limits the time for which the reply to a lost request waits until other hosts know of the loss. The caller may
-// send the request again at once, and each host that does not know of it would run it.
-const reportTimeout = 50 * time.Millisecond
-
-// reportSuspect reports whether the leaves that received the request survived it.
-func (q *query) reportSuspect(ctx context.Context) {
-	now := q.answerer.clock()
-	if q.answered {
-		q.answerer.suspects.ReportAnswered(q.request, now)
-		return
-	}
-	if q.lostConnections == 0 {
-		return
-	}
-	told := q.answerer.suspects.ReportLost(q.request, now)
-	timer := time.NewTimer(min(reportTimeout, q.deadline.Sub(now)))
-	defer timer.Stop()
-	select {
-	case <-told:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // replyDeadline returns the time by which the reply must be sent, from the caller's deadline and the route's timeout.
 func (q *query) replyDeadline() time.Time {
 	wait := q.request.Timeout
--- a/fleetd/keeper/losses_test.go
+++ b/fleetd/keeper/losses_test.go
@@ -11,6 +11,7 @@
 	"lycheelift.example/controld/replica"
 	"lycheelift.example/controld/store"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // leaderlessLog is a log without a leader.
@@ -37,7 +38,7 @@
 	peer := &stream{keeper: k, request: &peerv1.FollowRequest{Host: "core-2", Control: true}, departed: make(map[string]uint64)}
 	qt.Assert(t, entry(begin), qt.HasLen, 0)
 	qt.Assert(t, entryOfSecond(begin), qt.HasLen, 0)
-	loss := &peerv1.Loss{Fingerprint: 7, Lost: []*peerv1.LostRequest{{Id: "a", Began: durationpb.New(time.Second), Ended: durationpb.New(0)}}}
+	loss := &peerv1.Loss{Fingerprint: 7, Lost: []*statev1.LostRequest{{Id: "a", Began: durationpb.New(time.Second), Ended: durationpb.New(0)}}}
 	_, err := NewService(k, nil).ReportLosses(context.Background(), &peerv1.ReportLossesRequest{Losses: []*peerv1.Loss{loss}})
 	qt.Assert(t, err, qt.IsNil)
 	now := begin.Add(time.Millisecond)
--- a/fleetd/keeper/trial_test.go
+++ b/fleetd/keeper/trial_test.go
@@ -14,6 +14,7 @@
 	"lycheelift.example/lib/carrier"
 	"lycheelift.example/lib/quarantiner"
 	peerv1 "lycheelift.example/schema/gen/lycheelift/peer/v1"
+	statev1 "lycheelift.example/schema/gen/lycheelift/state/v1"
 )
 
 // A request that crashes its leaves comes in bursts of 12 over three entry hosts that have not heard of each other's losses yet.
@@ -84,8 +85,8 @@
 	register := &interposedTrials{Trials: quarantiner.NewTrials()}
 	k.trials = register
 	service := NewService(k, nil)
-	lost := func(id string, ended time.Duration) *peerv1.LostRequest {
-		return &peerv1.LostRequest{Id: id, Began: durationpb.New(ended + 500*time.Millisecond), Ended: durationpb.New(ended)}
+	lost := func(id string, ended time.Duration) *statev1.LostRequest {
+		return &statev1.LostRequest{Id: id, Began: durationpb.New(ended + 500*time.Millisecond), Ended: durationpb.New(ended)}
 	}
 	// arbiter lets another host's trial run when this host asks, and end while the control host handles the request.
 	arbiter := func(ctx context.Context, in *peerv1.TryRequest) (*peerv1.TryResponse, error) {
@@ -97,7 +98,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, response.GetWait().AsDuration(), qt.Equals, time.Duration(0))
 		register.before = func() {
-			other.Loss.Lost = []*peerv1.LostRequest{lost("b", time.Second), lost("c", 0)}
+			other.Loss.Lost = []*statev1.LostRequest{lost("b", time.Second), lost("c", 0)}
 			other.Ended = true
 			_, err := service.Try(ctx, other)
 			qt.Assert(t, err, qt.IsNil)
--- a/fleetd/linker/linker.go
+++ b/fleetd/linker/linker.go
@@ -83,13 +83,19 @@
 	return conn, oops.In("linker").Wrapf(err, "connect to %s", address)
 }
 
+// connect returns a connection to a control host, which is opened when it is used first.
+func connect(address string) (*grpc.ClientConn, error) {
+	dial, _ := Options()
+	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
+	return conn, oops.In("linker").Wrapf(err, "connect to %s", address)
+}
+
 // Follow opens a stream to a control host and passes each message to receive, until the stream ends, goes silent or
 // receive returns an error. Messages with changes of the entry hosts are passed on with the complete list.
 func Follow(ctx context.Context, address string, request *peerv1.FollowRequest, receive func(*peerv1.FollowResponse) error) error {
-	dial, _ := Options()
-	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
+	conn, err := connect(address)
 	if err != nil {
-		return oops.In("linker").Wrapf(err, "connect to %s", address)
+		return err
 	}
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -119,10 +125,9 @@
 
 // Report reports requests that are suspected of crashing the leaves that run them to a control host.
 func Report(ctx context.Context, address string, losses []*peerv1.Loss) error {
-	dial, _ := Options()
-	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
+	conn, err := connect(address)
 	if err != nil {
-		return oops.In("linker").Wrapf(err, "connect to %s", address)
+		return err
 	}
 	defer func() { _ = conn.Close() }()
 	_, err = peerv1.NewFollowServiceClient(conn).ReportLosses(ctx, &peerv1.ReportLossesRequest{Losses: losses})
@@ -131,10 +136,9 @@
 
 // Try asks a control host whether a suspected request may run, or tells it that the request has ended.
 func Try(ctx context.Context, address string, request *peerv1.TryRequest) (*peerv1.TryResponse, error) {
-	dial, _ := Options()
-	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
+	conn, err := connect(address)
 	if err != nil {
-		return nil, oops.In("linker").Wrapf(err, "connect to %s", address)
+		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
 	response, err := peerv1.NewTrialServiceClient(conn).Try(ctx, request)
--- a/fleetd/suspector/suspector.go
+++ b/fleetd/suspector/suspector.go
@@ -202,24 +202,20 @@
 
 // Encode converts a loss to its message. Times are sent as durations relative to now, because hosts' clocks differ.
 func Encode(l quarantiner.Loss, now time.Time) *peerv1.Loss {
-	out := &peerv1.Loss{Fingerprint: l.Fingerprint, Forgiven: l.Forgiven, Blocked: l.Blocked}
+	out := &peerv1.Loss{Fingerprint: l.Fingerprint, Lost: quarantiner.EncodeLost(l.Lost, now), Forgiven: l.Forgiven, Blocked: l.Blocked}
 	if l.Blocked {
 		out.Left = durationpb.New(l.Until.Sub(now))
 	}
-	for _, r := range l.Lost {
-		out.Lost = append(out.Lost, &peerv1.LostRequest{Id: r.ID, Began: durationpb.New(now.Sub(r.Began)), Ended: durationpb.New(now.Sub(r.Ended))})
-	}
 	return out
 }
 
 // Decode converts a message that has just arrived to a loss.
 func Decode(m *peerv1.Loss, now time.Time) quarantiner.Loss {
-	out := quarantiner.Loss{Fingerprint: m.GetFingerprint(), Forgiven: m.GetForgiven(), Blocked: m.GetBlocked()}
+	out := quarantiner.Loss{
+		Fingerprint: m.GetFingerprint(), Lost: quarantiner.DecodeLost(m.GetLost(), now), Forgiven: m.GetForgiven(), Blocked: m.GetBlocked(),
+	}
 	if m.GetBlocked() {
 		out.Until = now.Add(m.GetLeft().AsDuration())
 	}
-	for _, r := range m.GetLost() {
-		out.Lost = append(out.Lost, quarantiner.Lost{ID: r.GetId(), Began: now.Add(-r.GetBegan().AsDuration()), Ended: now.Add(-r.GetEnded().AsDuration())})
-	}
 	return out
 }
--- a/lib/quarantiner/blocks.go
+++ b/lib/quarantiner/blocks.go
@@ -72,9 +72,7 @@
 			out.Confirmed = replaced.GetConfirmed() + 1
 		}
 	}
-	for _, r := range l.Lost {
-		out.Lost = append(out.Lost, &statev1.LostRequest{Id: r.ID, Began: durationpb.New(now.Sub(r.Began)), Ended: durationpb.New(now.Sub(r.Ended))})
-	}
+	out.Lost = EncodeLost(l.Lost, now)
 	return out
 }
 
@@ -83,11 +81,7 @@
 // block was wrong or has served its purpose. After maxConfirmed lost ones the fingerprint is blocked without another. Times
 // count from now, because the time since the record is unknown.
 func DecodeBlock(b *statev1.Block, now time.Time) Loss {
-	out := Loss{Fingerprint: b.GetFingerprint()}
-	for _, r := range b.GetLost() {
-		began, ended := max(0, r.GetBegan().AsDuration()), max(0, r.GetEnded().AsDuration())
-		out.Lost = append(out.Lost, Lost{ID: r.GetId(), Began: now.Add(-began), Ended: now.Add(-ended)})
-	}
+	out := Loss{Fingerprint: b.GetFingerprint(), Lost: DecodeLost(b.GetLost(), now)}
 	if len(out.Lost) > 0 && b.GetConfirmed() >= maxConfirmed {
 		out.block(out.lastEnded().Add(BlockTime), out.Lost)
 		return out
@@ -96,3 +90,22 @@
 	out.Lost = out.Lost[max(0, len(out.Lost)-lostLimit+1):]
 	return out
 }
+
+// EncodeLost converts lost requests to their messages. Times become ages.
+func EncodeLost(list []Lost, now time.Time) []*statev1.LostRequest {
+	out := make([]*statev1.LostRequest, 0, len(list))
+	for _, r := range list {
+		out = append(out, &statev1.LostRequest{Id: r.ID, Began: durationpb.New(now.Sub(r.Began)), Ended: durationpb.New(now.Sub(r.Ended))})
+	}
+	return out
+}
+
+// DecodeLost converts messages that have just arrived, or a record, to lost requests. None of them lies in the future.
+func DecodeLost(list []*statev1.LostRequest, now time.Time) []Lost {
+	out := make([]Lost, 0, len(list))
+	for _, r := range list {
+		began, ended := max(0, r.GetBegan().AsDuration()), max(0, r.GetEnded().AsDuration())
+		out = append(out, Lost{ID: r.GetId(), Began: now.Add(-began), Ended: now.Add(-ended)})
+	}
+	return out
+}
