quarantiner: records that confirm a block do not add up to one

A host that starts applies the log in parts, and may see the record of a block and then one that confirms it. Their lost requests added up to three, so that the fingerprint was blocked without the one request that shows whether the block is right.

Suspicions of all records of a block name the same lost requests now.

The tests of the control group were not deterministic: an entry host tells the arbiter in the background that a trial has ended, and the next attempt could come before.

--- a/fleetd/keeper/blocks_test.go
+++ b/fleetd/keeper/blocks_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -165,6 +166,7 @@
 	}, func() time.Time { return g.now })
 	if end != nil {
 		end(g.now)
+		synctest.Wait() // The arbiter has been told.
 	}
 	return true
 }
@@ -204,107 +206,119 @@
 // All processes are killed after a request that crashes its leaves was refused. Guards against hosts that know nothing of it, so that
 // it reaches leaves from each of them.
 func TestBlockSurvivesTheLossOfAllProcesses(t *testing.T) {
-	g := newGroup(t, 3, 6)
-	g.block()
-	reached := 0
-	for range 5 {
-		g.kill()
-		reached += g.storm(3)
-	}
-	qt.Assert(t, reached, qt.Equals, 2)
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, 6)
+		g.block()
+		reached := 0
+		for range 5 {
+			g.kill()
+			reached += g.storm(3)
+		}
+		qt.Assert(t, reached, qt.Equals, 2)
+	})
 }
 
 // Hosts are killed one after the other, in any order, some twice. Guards against a block that is lost because the hosts that know it
 // are killed in turn.
 func TestBlockSurvivesKillsInTurn(t *testing.T) {
-	for _, order := range [][]int{{0, 1, 2, 3, 4, 5, 6, 7, 8}, {8, 7, 6, 5, 4, 3, 2, 1, 0}, {0, 3, 0, 6, 1, 4, 1, 7, 2, 5, 2, 8}, {3, 4, 5, 6, 7, 8, 2, 1, 0, 0, 3}} {
-		g := newGroup(t, 3, 6)
-		g.block()
-		reached := 0
-		for _, i := range order {
-			if i < 3 {
-				g.startControl(i)
-			} else {
-				g.startEntry(i - 3)
+	synctest.Test(t, func(t *testing.T) {
+		for _, order := range [][]int{{0, 1, 2, 3, 4, 5, 6, 7, 8}, {8, 7, 6, 5, 4, 3, 2, 1, 0}, {0, 3, 0, 6, 1, 4, 1, 7, 2, 5, 2, 8}, {3, 4, 5, 6, 7, 8, 2, 1, 0, 0, 3}} {
+			g := newGroup(t, 3, 6)
+			g.block()
+			reached := 0
+			for _, i := range order {
+				if i < 3 {
+					g.startControl(i)
+				} else {
+					g.startEntry(i - 3)
+				}
+				g.settle(500 * time.Millisecond)
+				reached += g.storm(1)
 			}
-			g.settle(500 * time.Millisecond)
-			reached += g.storm(1)
+			qt.Assert(t, reached, qt.Equals, 0, qt.Commentf("%v", order))
 		}
-		qt.Assert(t, reached, qt.Equals, 0, qt.Commentf("%v", order))
-	}
+	})
 }
 
 // No majority of the control hosts is left when a request is lost for the third time. Guards against a block that is not recorded once
 // there is a majority again, and against entry hosts that run the request meanwhile.
 func TestBlockWithoutAMajorityIsRecordedLater(t *testing.T) {
-	g := newGroup(t, 3, 6)
-	g.noQuorum = true
-	g.block()
-	qt.Assert(t, g.log, qt.HasLen, 0)
-	g.noQuorum = false
-	g.settle(time.Second)
-	qt.Assert(t, g.log, qt.HasLen, 1)
-	g.kill()
-	qt.Assert(t, g.storm(3), qt.Equals, 1)
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, 6)
+		g.noQuorum = true
+		g.block()
+		qt.Assert(t, g.log, qt.HasLen, 0)
+		g.noQuorum = false
+		g.settle(time.Second)
+		qt.Assert(t, g.log, qt.HasLen, 1)
+		g.kill()
+		qt.Assert(t, g.storm(3), qt.Equals, 1)
+	})
 }
 
 // Many different requests are lost, as when connections are reset, and a few are blocked. Guards against a record for each loss, for each
 // host or for each check, and against records that stay for ever.
 func TestOneRecordForABlockAndNoneForALoss(t *testing.T) {
-	g := newGroup(t, 3, 6)
-	leader := g.controls[0].keeper
-	for f := range uint64(500) {
-		leader.losses.RecordLoss(f, "a", g.now, g.now)
-		g.settle(10 * time.Millisecond)
-	}
-	qt.Assert(t, g.log, qt.HasLen, 0)
-	g.block()
-	qt.Assert(t, g.log, qt.HasLen, 1)
-	lost := g.log[0].GetBlocks().GetSet()[0].GetLost()
-	qt.Assert(t, lost, qt.HasLen, 3)
-	qt.Assert(t, lost[0].GetId(), qt.Equals, "1")
-	g.settle(quarantiner.BlockTime - 20*time.Second)
-	qt.Assert(t, g.log, qt.HasLen, 1)
-	g.settle(30 * time.Second)
-	qt.Assert(t, g.log, qt.HasLen, 2)
-	qt.Assert(t, g.controls[0].keeper.store.View().Blocks, qt.HasLen, 0)
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, 6)
+		leader := g.controls[0].keeper
+		for f := range uint64(500) {
+			leader.losses.RecordLoss(f, "a", g.now, g.now)
+			g.settle(10 * time.Millisecond)
+		}
+		qt.Assert(t, g.log, qt.HasLen, 0)
+		g.block()
+		qt.Assert(t, g.log, qt.HasLen, 1)
+		lost := g.log[0].GetBlocks().GetSet()[0].GetLost()
+		qt.Assert(t, lost, qt.HasLen, 3)
+		qt.Assert(t, lost[0].GetId(), qt.Equals, "1")
+		g.settle(quarantiner.BlockTime - 20*time.Second)
+		qt.Assert(t, g.log, qt.HasLen, 1)
+		g.settle(30 * time.Second)
+		qt.Assert(t, g.log, qt.HasLen, 2)
+		qt.Assert(t, g.controls[0].keeper.store.View().Blocks, qt.HasLen, 0)
+	})
 }
 
 // A request is answered after a restart. Guards against a record that outlives its block.
 func TestAnswerRemovesTheRecord(t *testing.T) {
-	g := newGroup(t, 3, 6)
-	g.block()
-	g.kill()
-	r := &carrier.Request{ID: "answered", Method: "GET", Host: "n", Target: "/a", Received: g.now}
-	g.entries[0].suspects.ReportAnswered(r, g.now)
-	ctx, cancel := context.WithCancel(context.Background())
-	g.entries[0].suspects.Run(ctx, func(_ context.Context, losses []*peerv1.Loss) error {
-		defer cancel()
-		_, err := NewService(g.controls[0].keeper, nil).ReportLosses(context.Background(), &peerv1.ReportLossesRequest{Losses: losses})
-		return err
-	}, func() time.Time { return g.now })
-	g.settle(time.Second)
-	qt.Assert(t, g.controls[2].keeper.store.View().Blocks, qt.HasLen, 0)
-	for _, e := range g.entries {
-		end, wait := e.suspects.Begin(context.Background(), r, g.now.Add(time.Second), g.now)
-		qt.Assert(t, end, qt.IsNil)
-		qt.Assert(t, wait, qt.Equals, time.Duration(0))
-	}
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, 6)
+		g.block()
+		g.kill()
+		r := &carrier.Request{ID: "answered", Method: "GET", Host: "n", Target: "/a", Received: g.now}
+		g.entries[0].suspects.ReportAnswered(r, g.now)
+		ctx, cancel := context.WithCancel(context.Background())
+		g.entries[0].suspects.Run(ctx, func(_ context.Context, losses []*peerv1.Loss) error {
+			defer cancel()
+			_, err := NewService(g.controls[0].keeper, nil).ReportLosses(context.Background(), &peerv1.ReportLossesRequest{Losses: losses})
+			return err
+		}, func() time.Time { return g.now })
+		g.settle(time.Second)
+		qt.Assert(t, g.controls[2].keeper.store.View().Blocks, qt.HasLen, 0)
+		for _, e := range g.entries {
+			end, wait := e.suspects.Begin(context.Background(), r, g.now.Add(time.Second), g.now)
+			qt.Assert(t, end, qt.IsNil)
+			qt.Assert(t, wait, qt.Equals, time.Duration(0))
+		}
+	})
 }
 
 // Guards against an entry host that has a configuration, and serves, before it knows the blocks.
 func TestFirstMessageHoldsTheBlocks(t *testing.T) {
-	g := newGroup(t, 3, 6)
-	g.block()
-	_, err := g.controls[0].Propose(context.Background(), &statev1.Command{Kind: &statev1.Command_Document{Document: &statev1.Document{Version: 7}}})
-	qt.Assert(t, err, qt.IsNil)
-	for i := range g.controls {
-		g.startControl(i)
-		var f *stream
-		m := g.controls[i].follow(&f, &peerv1.FollowRequest{})
-		qt.Assert(t, m.GetDocument().GetVersion(), qt.Equals, uint64(7))
-		qt.Assert(t, m.GetLosses(), qt.HasLen, 1)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, 6)
+		g.block()
+		_, err := g.controls[0].Propose(context.Background(), &statev1.Command{Kind: &statev1.Command_Document{Document: &statev1.Document{Version: 7}}})
+		qt.Assert(t, err, qt.IsNil)
+		for i := range g.controls {
+			g.startControl(i)
+			var f *stream
+			m := g.controls[i].follow(&f, &peerv1.FollowRequest{})
+			qt.Assert(t, m.GetDocument().GetVersion(), qt.Equals, uint64(7))
+			qt.Assert(t, m.GetLosses(), qt.HasLen, 1)
+		}
+	})
 }
 
 // A request crashes its leaves and is sent to another host some milliseconds later. Guards against hosts that hear of the first loss only
--- a/lib/quarantiner/blocks.go
+++ b/lib/quarantiner/blocks.go
@@ -86,8 +86,24 @@
 		out.block(out.lastEnded().Add(BlockTime), out.Lost)
 		return out
 	}
-	out.Lost = out.consecutive()
-	out.Lost = out.Lost[max(0, len(out.Lost)-lostLimit+1):]
+	out.Lost = out.suspicion()
+	return out
+}
+
+// suspicion returns the first lost requests on which a block is based, one too few for it, as if they had ended one after the other
+// when the last one ended. They are the same ones for a record and for those that confirm it, so that hosts that see several of these
+// records do not count more requests.
+func (l *Loss) suspicion() []Lost {
+	out := l.consecutive()
+	if len(out) == 0 {
+		return nil
+	}
+	last := l.lastEnded()
+	out = out[:min(len(out), lostLimit-1)]
+	for i := range out {
+		at := last.Add(time.Duration(i - len(out)))
+		out[i].Began, out[i].Ended = at, at
+	}
 	return out
 }
 
--- a/lib/quarantiner/blocks_test.go
+++ b/lib/quarantiner/blocks_test.go
@@ -51,6 +51,29 @@
 	}
 }
 
+// A host that starts applies the log in parts, and sees a record and then one that confirms it. Guards against losses of both that add up
+// to a block, so that no request could show that the block is wrong.
+func TestRecordsOfABlockDoNotAddUp(t *testing.T) {
+	l, at := blocked(t)
+	at = at.Add(10 * time.Second)
+	first := quarantiner.EncodeBlock(l.Blocks(at)[0], nil, at)
+	l = quarantiner.NewLedger()
+	l.Merge(quarantiner.DecodeBlock(first, at), at)
+	at = at.Add(time.Minute)
+	l.RecordLoss(7, "again", at.Add(-time.Millisecond), at)
+	second := quarantiner.EncodeBlock(l.Blocks(at)[0], first, at)
+	qt.Assert(t, second.GetConfirmed(), qt.Equals, uint32(1))
+	at = at.Add(time.Hour)
+	l = quarantiner.NewLedger()
+	for _, record := range []*statev1.Block{first, second, first} {
+		l.Merge(quarantiner.DecodeBlock(record, at), at)
+		qt.Assert(t, l.Suspected(7, at), qt.IsTrue)
+	}
+	began := at.Add(time.Second)
+	l.RecordLoss(7, "once more", began, began.Add(time.Millisecond))
+	qt.Assert(t, l.Blocked(7, began) > 0, qt.IsTrue)
+}
+
 // Leaves reset connections until a sound request is blocked, and all hosts are killed. Guards against a wrong block that lasts
 // longer because it is recorded.
 func TestAnswerAfterARestartEndsTheBlock(t *testing.T) {
