keeper: propose no more blocks than can be recorded

With more than 256 fingerprints blocked at a time, the leader proposed those beyond the limit again at each check, each time in a record of the log that changed nothing. Found by reading. TestBlocksBeyondTheLimitAreNotProposedAgain failed before: 4 commands in a second for 306 blocked fingerprints, 1 with the change.

--- a/fleetd/keeper/blocks.go
+++ b/fleetd/keeper/blocks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -66,7 +67,8 @@
 	_ = k.store.Block(ctx, change) // It is logged; the next check tries again.
 }
 
-// blockChanges returns the difference between the records and the blocks that this host knows.
+// blockChanges returns the difference between the records and the blocks that this host knows. It proposes no more blocks than can
+// be recorded.
 func (k *Keeper) blockChanges(records []*statev1.Block, now time.Time) *statev1.Blocks {
 	out := &statev1.Blocks{}
 	recorded := make(map[uint64]*statev1.Block, len(records))
@@ -76,11 +78,16 @@
 			out.Removed = append(out.Removed, r.GetFingerprint())
 		}
 	}
+	room := quarantiner.MaxBlocks - len(records) + len(out.Removed)
 	for _, known := range k.losses.Blocks(now) {
 		r := recorded[known.Fingerprint]
-		if r == nil || k.blocks.isRestored(known.Fingerprint) && !sameGrounds(r, known) {
-			out.Set = append(out.Set, quarantiner.EncodeBlock(known, r, now))
+		switch {
+		case r == nil && room > 0:
+			room--
+		case r == nil || !k.blocks.isRestored(known.Fingerprint) || sameGrounds(r, known):
+			continue
 		}
+		out.Set = append(out.Set, quarantiner.EncodeBlock(known, r, now))
 	}
 	return out
 }
@@ -109,6 +116,9 @@
 		known[r] = true
 	}
 	a.records = records
+	maps.DeleteFunc(a.restored, func(fingerprint uint64, _ bool) bool {
+		return !slices.ContainsFunc(records, func(r *statev1.Block) bool { return r.GetFingerprint() == fingerprint })
+	})
 	return slices.DeleteFunc(slices.Clone(records), func(r *statev1.Block) bool { return known[r] })
 }
 
--- a/fleetd/keeper/blocks_test.go
+++ b/fleetd/keeper/blocks_test.go
@@ -338,3 +338,23 @@
 	qt.Assert(t, f.lossChanged(begin.Add(checkInterval-1)), qt.IsNil)
 	qt.Assert(t, f.lossChanged(begin.Add(checkInterval)), qt.IsNotNil)
 }
+
+// More fingerprints are blocked than are recorded. Guards against a command at each check that changes nothing.
+func TestBlocksBeyondTheLimitAreNotProposedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newGroup(t, 3, 0)
+		for f := range uint64(quarantiner.MaxBlocks + 50) {
+			for i := range 3 {
+				g.now = g.now.Add(time.Millisecond)
+				g.controls[0].keeper.losses.RecordLoss(f, fmt.Sprint(i), g.now, g.now)
+			}
+		}
+		g.settle(time.Second)
+		qt.Assert(t, g.log, qt.HasLen, 1)
+		qt.Assert(t, g.controls[0].keeper.store.View().Blocks, qt.HasLen, quarantiner.MaxBlocks)
+		for range 10 {
+			g.settle(time.Second)
+		}
+		qt.Assert(t, g.log, qt.HasLen, 1)
+	})
+}
--- a/lib/quarantiner/blocks.go
+++ b/lib/quarantiner/blocks.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxBlocks bounds the blocks that are recorded.
-	maxBlocks = 256
+	// MaxBlocks bounds the blocks that are recorded.
+	MaxBlocks = 256
 	// maxConfirmed is the number of requests that may be lost because hosts know a block from its record only.
 	maxConfirmed = 2
 )
@@ -23,7 +23,7 @@
 	records []*statev1.Block
 }
 
-// Apply applies a command and reports whether it changed a record. Beyond maxBlocks, no fingerprint is added.
+// Apply applies a command and reports whether it changed a record. Beyond MaxBlocks, no fingerprint is added.
 func (b *Blocks) Apply(c *statev1.Blocks) bool {
 	next, changed := slices.Clone(b.records), false
 	for _, fingerprint := range c.GetRemoved() {
@@ -36,7 +36,7 @@
 		switch {
 		case ok:
 			next[i], changed = block, true
-		case len(next) < maxBlocks:
+		case len(next) < MaxBlocks:
 			next, changed = slices.Insert(next, i, block), true
 		}
 	}
